--- /dev/null
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -0,0 +1,96 @@
+import { ErrorDetails, ErrorKind, JaymillError, RanState } from './JaymillError.js'
+
+/** HTTP status for each kind of failure. */
+export const STATUS_OF_KIND: Readonly<Record<ErrorKind, number>> = {
+  [ErrorKind.Invariant]: 500,
+  [ErrorKind.BadRequest]: 400,
+  [ErrorKind.Unauthorized]: 401,
+  [ErrorKind.NotFound]: 404,
+  [ErrorKind.TooLarge]: 413,
+  [ErrorKind.Overloaded]: 503,
+  [ErrorKind.AccountLimit]: 429,
+  [ErrorKind.Stopping]: 503,
+  [ErrorKind.NotReady]: 503,
+  [ErrorKind.NoEndpoint]: 503,
+  [ErrorKind.Deadline]: 504,
+  [ErrorKind.CallerGone]: 499,
+  [ErrorKind.EndpointFailed]: 502,
+  [ErrorKind.EndpointRefused]: 502,
+  [ErrorKind.Stalled]: 504,
+  [ErrorKind.OutcomeUnknown]: 503,
+  [ErrorKind.AlreadyRan]: 409,
+  [ErrorKind.AlreadyRunning]: 409,
+  [ErrorKind.Superseded]: 409,
+  [ErrorKind.KeyRefused]: 400,
+  [ErrorKind.KeyConflict]: 422,
+  [ErrorKind.Quarantined]: 422,
+  [ErrorKind.PeerFailed]: 502,
+  [ErrorKind.Platform]: 503,
+  [ErrorKind.Config]: 409,
+  [ErrorKind.Settings]: 500
+}
+
+/** A failure of one request, carried to the caller as a problem document. */
+export class RequestError extends JaymillError {
+  readonly kind: ErrorKind
+  readonly status: number
+
+  /**
+   * @param kind - Kind of the failure.
+   * @param message - Explanation for a person.
+   * @param details - Effect, retry time and cause.
+   */
+  constructor (kind: ErrorKind, message: string, details: ErrorDetails = {}) {
+    super(message, details)
+    this.kind = kind
+    this.status = STATUS_OF_KIND[kind]
+  }
+}
+
+/** RFC 9457 problem document with the project's extension members. */
+export interface ProblemDocument {
+  readonly type: string
+  readonly title: string
+  readonly status: number
+  readonly detail: string
+  /** Whether the request had an effect on an endpoint. */
+  readonly ran: RanState
+  readonly requestId?: string
+  /** Time after which a resend may succeed, in milliseconds. */
+  readonly retryAfterMs?: number
+}
+
+/**
+ * Converts a failure to a problem document (RFC 9457).
+ *
+ * @param err - Any thrown value.
+ * @param requestId - Id of the request that failed.
+ * @returns The document; values that are not `JaymillError` become an internal error with unknown effect.
+ */
+export function toProblem (err: unknown, requestId?: string): ProblemDocument {
+  const known = err instanceof JaymillError
+  const kind = known ? err.kind : ErrorKind.Invariant
+  return {
+    type: `urn:jaymill:error:${kind}`,
+    title: kind,
+    status: known ? err.status : 500,
+    detail: known ? err.message : 'internal error',
+    ran: known ? err.ran : RanState.Unknown,
+    ...(requestId === undefined ? {} : { requestId }),
+    ...(known && err.retryAfterMs !== undefined ? { retryAfterMs: err.retryAfterMs } : {})
+  }
+}
+
+/**
+ * Converts a problem document from a peer back to a failure.
+ *
+ * @param doc - Parsed JSON body.
+ * @returns The failure, or `undefined` when the value is not one of the project's documents.
+ */
+export function fromProblem (doc: unknown): RequestError | undefined {
+  const candidate = doc as Partial<ProblemDocument> | null
+  const kind = Object.values(ErrorKind).find(value => candidate?.type === `urn:jaymill:error:${value}`)
+  if (candidate === null || kind === undefined) return undefined
+  const ran = Object.values(RanState).find(value => value === candidate.ran) ?? RanState.Unknown
+  return new RequestError(kind, candidate.detail ?? kind, { ran, retryAfterMs: candidate.retryAfterMs })
+}
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,1 @@
+export * from './JaymillSlotBooker.js'
