Read host settings, fleet configuration and host list with all errors at once

Cause: operators apply one document as a whole, so a faulty one must be refused with everything that is wrong in it, and the daemon needs typed values with defaults.

Change: zod schemas with units and descriptions, a JSON-with-comments document that knows line and column of each value, nearest known names for unknown keys, duplicate keys, cross-references (pools, roles, routes, ids, URLs), bounds of size and nesting.

Conclusion: parseHostSettings, parseFleetConfig and parseHostList can be used by the daemon.

--- /dev/null
+++ b/packages/settings/src/JaymillParse.ts
@@ -0,0 +1,64 @@
+import type { FleetConfig, HostList } from '@jaymill/core'
+import type { z } from 'zod'
+import { JsonDocument, type Finding } from './JaymillDocument.js'
+import { checkFleet, checkHostList, checkHostSettings } from './JaymillFleetChecks.js'
+import { fleetConfigSchema, hostListSchema } from './JaymillFleetSchema.js'
+import { hostSettingsSchema, type HostSettings } from './JaymillHostSettings.js'
+import { checkSchema } from './JaymillSchemaCheck.js'
+import { SettingsError, type Problem } from './JaymillSettingsError.js'
+
+/**
+ * Reads the settings of one host.
+ *
+ * @param text - JSON with comments.
+ * @param fileName - Name shown in problems.
+ * @returns The settings with defaults.
+ * @throws SettingsError with every problem.
+ */
+export function parseHostSettings (text: string, fileName: string): HostSettings {
+  return parse(hostSettingsSchema, checkHostSettings, text, fileName)
+}
+
+/**
+ * Reads a fleet configuration.
+ *
+ * @param text - JSON with comments.
+ * @param fileName - Name shown in problems.
+ * @returns The configuration with defaults.
+ * @throws SettingsError with every problem.
+ */
+export function parseFleetConfig (text: string, fileName: string): FleetConfig {
+  return parse(fleetConfigSchema, checkFleet, text, fileName)
+}
+
+/**
+ * Reads a host list.
+ *
+ * @param text - JSON with comments.
+ * @param fileName - Name shown in problems.
+ * @returns The list with defaults.
+ * @throws SettingsError with every problem.
+ */
+export function parseHostList (text: string, fileName: string): HostList {
+  return parse(hostListSchema, checkHostList, text, fileName)
+}
+
+function parse<Schema extends z.ZodType> (
+  schema: Schema, crossCheck: (doc: unknown) => Finding[], text: string, fileName: string
+): z.output<Schema> {
+  const doc = new JsonDocument(text)
+  const value = doc.value()
+  const check = value === undefined ? { findings: [] } : checkSchema(schema, value)
+  const found = [...check.findings, ...crossCheck(value)].map(finding => doc.locate(finding))
+  const problems = [...doc.syntaxProblems, ...found].sort(byPlace)
+  if (problems.length > 0 || check.value === undefined) throw new SettingsError(fileName, orEmpty(problems))
+  return check.value
+}
+
+function byPlace (a: Problem, b: Problem): number {
+  return a.line - b.line || a.column - b.column
+}
+
+function orEmpty (problems: readonly Problem[]): readonly Problem[] {
+  return problems.length > 0 ? problems : [{ path: '', line: 1, column: 1, message: 'holds no value' }]
+}
--- /dev/null
+++ b/packages/settings/src/JaymillSchemaCheck.ts
@@ -0,0 +1,45 @@
+import { closest, distance } from 'fastest-levenshtein'
+import { z } from 'zod'
+import { MAX_SUGGESTION_DISTANCE } from './constants.js'
+import type { Finding, ValuePath } from './JaymillDocument.js'
+import { knownKeys } from './JaymillFieldReference.js'
+
+/** Result of checking a value against a schema. */
+export interface SchemaCheck<Value> {
+  /** The value with defaults; absent when there are findings. */
+  readonly value?: Value
+  readonly findings: readonly Finding[]
+}
+
+/**
+ * Checks a value against a schema.
+ *
+ * @param schema - What the value must be.
+ * @param value - Parsed JSON.
+ * @returns The typed value, or every finding.
+ */
+export function checkSchema<Schema extends z.ZodType> (schema: Schema, value: unknown): SchemaCheck<z.output<Schema>> {
+  const result = schema.safeParse(value)
+  if (result.success) return { value: result.data, findings: [] }
+  return { findings: result.error.issues.flatMap(issue => findingsOf(schema, value, issue)) }
+}
+
+function findingsOf (schema: z.ZodType, value: unknown, issue: z.core.$ZodIssue): Finding[] {
+  const path = issue.path.map(part => typeof part === 'number' ? part : String(part))
+  if (issue.code === 'unrecognized_keys') {
+    const known = knownKeys(schema, path, value)
+    return issue.keys.map(key => ({ path: [...path, key], message: unknownKeyMessage(key, known), atKey: true }))
+  }
+  return [{ path, message: isAbsent(value, path) ? 'is missing' : issue.message }]
+}
+
+function unknownKeyMessage (key: string, known: readonly string[]): string {
+  const nearest = known.length === 0 ? undefined : closest(key, [...known])
+  const isNear = nearest !== undefined && distance(key, nearest) <= MAX_SUGGESTION_DISTANCE
+  return isNear ? `unknown key; did you mean "${nearest}"?` : `unknown key; known keys are ${known.join(', ')}`
+}
+
+function isAbsent (value: unknown, path: ValuePath): boolean {
+  const found = path.reduce<unknown>((parent, part) => (parent as Record<string, unknown> | undefined)?.[part], value)
+  return found === undefined
+}
--- /dev/null
+++ b/packages/settings/src/constants.ts
@@ -0,0 +1,28 @@
+/** Largest published value, in bytes. */
+export const MAX_VALUE_BYTES = 1_000_000
+/** Deepest nesting of a document. */
+export const MAX_DEPTH = 32
+/** Longest identifier, in characters. */
+export const MAX_ID_CHARS = 128
+/** Farthest edit distance at which a known name is suggested, in characters. */
+export const MAX_SUGGESTION_DISTANCE = 4
+
+/** Defaults of the host settings; units are in the names. */
+export const HOST_DEFAULTS = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  queueRequests: 512,
+  queueBytes: 67_108_864,
+  peerMessageBytes: 1_048_576,
+  clockSkewMs: 250,
+  keyRecordMs: 900_000,
+  keyRecords: 100_000,
+  drainDeadlineMs: 120_000,
+  logLevel: 'info',
+  rereadMs: 1_000,
+  waitMs: 30_000,
+  requestTimeoutMs: 5_000,
+  maxBackoffMs: 10_000,
+  hostReadsPerSecond: 4,
+  fleetReadsPerSecond: 200
+} as const
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './JaymillFieldReference.js'
+export { fleetConfigSchema, hostListSchema } from './JaymillFleetSchema.js'
+export * from './JaymillHostSettings.js'
+export * from './JaymillParse.js'
+export * from './JaymillSettingsError.js'
+export * from './constants.js'
