--- /dev/null
+++ b/packages/adapters/src/endpoints/JaymillTokenStream.ts
@@ -0,0 +1,69 @@
+import { ErrorKind, RanState, RequestError, TokenEvent } from '@jaymill/core'
+import { createParser, EventSourceMessage, EventSourceParser } from 'eventsource-parser'
+import { MAX_EVENT_BYTES } from './constants.js'
+import { DONE, TokenData } from './JaymillEngineProtocol.js'
+
+/** Turns the bytes of a server-sent event stream into tokens, however the bytes are cut. */
+export class TokenStream {
+  private readonly _firstId: number
+  private readonly _decoder = new TextDecoder()
+  private readonly _parser: EventSourceParser
+  private _tokens: TokenEvent[] = []
+  private _done = false
+
+  /**
+   * @param offset - Tokens that came before the engine's first id.
+   */
+  constructor (offset: number) {
+    this._firstId = offset
+    this._parser = createParser({
+      maxBufferSize: MAX_EVENT_BYTES,
+      onEvent: event => this._onEvent(event),
+      onError: err => {
+        if (err.type === 'max-buffer-size-exceeded') throw wrongStream('an event is larger than allowed', err)
+      }
+    })
+  }
+
+  /**
+   * @returns Whether the engine has ended the stream.
+   */
+  get done (): boolean {
+    return this._done
+  }
+
+  /**
+   * @param chunk - Bytes as they arrived.
+   * @returns Tokens that are complete now.
+   * @throws RequestError of kind `EndpointFailed` when the bytes are not a token stream.
+   */
+  push (chunk: Uint8Array): readonly TokenEvent[] {
+    this._parser.feed(this._decoder.decode(chunk, { stream: true }))
+    const tokens = this._tokens
+    this._tokens = []
+    return tokens
+  }
+
+  private _onEvent (event: EventSourceMessage): void {
+    if (event.data === DONE) {
+      this._done = true
+      return
+    }
+    const id = Number(event.id)
+    if (!Number.isSafeInteger(id) || id < 1) throw wrongStream('an event has no usable id')
+    this._tokens.push({ id: this._firstId + id, ...parseToken(event.data) })
+  }
+}
+
+function parseToken (data: string): Omit<TokenEvent, 'id'> {
+  try {
+    const { choices: [choice] } = TokenData.parse(JSON.parse(data))
+    return { text: choice.text, finishReason: choice.finish_reason }
+  } catch (err) {
+    throw wrongStream('an event has no usable data', err)
+  }
+}
+
+function wrongStream (message: string, cause?: unknown): RequestError {
+  return new RequestError(ErrorKind.EndpointFailed, message, { ran: RanState.Unknown, cause })
+}
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './endpoints/index.js'
--- a/packages/core/src/ports/JaymillEngineClient.ts
+++ b/packages/core/src/ports/JaymillEngineClient.ts
@@ -10,6 +10,14 @@
   readonly idempotencyKey?: string
 }
 
+/** Longest silence that a request's expected pace allows. */
+export interface StreamPace {
+  /** Until the first token or the whole prefill, in milliseconds. */
+  readonly firstTokenMs: number
+  /** Between two tokens, in milliseconds. */
+  readonly interTokenMs: number
+}
+
 /** Prompt and sampling values of one engine call. */
 export interface EngineCall {
   readonly tag: RequestOwnerTag
@@ -21,11 +29,14 @@
   readonly generated: string
   /** Tokens that `generated` holds. */
   readonly generatedTokens: number
+  /** Most tokens of the whole answer, `generatedTokens` included. */
   readonly maxTokens: number
   /** Lower is more urgent. */
   readonly priority: number
   /** Sampling values passed through as the caller sent them. */
   readonly sampling: Readonly<Record<string, unknown>>
+  /** Allowed silence; the client's own defaults without it. */
+  readonly pace?: StreamPace
 }
 
 /** Result of a prefill. */
@@ -62,6 +73,27 @@
   readonly ageMs: number
 }
 
+/** What an engine's prefix cache did. */
+export enum CacheEventKind {
+  Stored = 'stored',
+  Evicted = 'evicted'
+}
+
+/** One change of an engine's prefix cache. */
+export interface CacheEvent {
+  /** Counts up by one; a jump means that events were lost. */
+  readonly seq: number
+  readonly kind: CacheEventKind
+  readonly prefix: string
+}
+
+/** A page of cache events; it may be late and have gaps. */
+export interface CacheEventPage {
+  readonly events: readonly CacheEvent[]
+  /** Sequence number to ask for next. */
+  readonly next: number
+}
+
 /** Calls to model engines. */
 export abstract class EngineClient {
   /**
@@ -75,24 +107,47 @@
   abstract prefill (call: EngineCall, signal: AbortSignal): Promise<PrefillResult>
 
   /**
-   * Streams tokens from a decode engine.
+   * Streams tokens from a decode engine. Ending the iteration early cancels the call as well.
    *
-   * @param call - What to run; `generatedTokens` sets the first id.
+   * @param call - What to run; the first id is `generatedTokens` + 1.
    * @param kv - Values from the prefill; `null` lets the engine prefill by itself.
    * @param signal - Cancels the call and frees engine memory.
-   * @returns Tokens in order, without gaps or repeats.
-   * @throws RequestError of kind `EndpointRefused`, `EndpointFailed` or `Stalled`.
+   * @returns Tokens as the engine sends them; `AnswerAssembler` removes repeats and finds gaps.
+   * @throws RequestError of kind `EndpointRefused` when the call truly did not run; `Stalled` after a silence longer
+   * than the pace allows and `EndpointFailed` after a broken connection, both of which leave the engine's request
+   * in place so that `resume` can continue it.
    */
   abstract decode (call: EngineCall, kv: KvTransferParams | null, signal: AbortSignal): AsyncIterable<TokenEvent>
 
+  /**
+   * Continues a stream on a new connection.
+   *
+   * @param call - The call given to `decode`.
+   * @param lastId - Last id that arrived.
+   * @param signal - Cancels the call and frees engine memory.
+   * @returns Tokens after `lastId`, as the engine sends them.
+   * @throws RequestError of kind `NotFound` when the engine no longer knows the request; else as `decode`.
+   */
+  abstract resume (call: EngineCall, lastId: number, signal: AbortSignal): AsyncIterable<TokenEvent>
+
+  /**
+   * Asks on a new connection whether an endpoint answers at all.
+   *
+   * @param url - Base URL of the endpoint.
+   * @param signal - Gives up.
+   * @returns False when it does not answer within the probe's timeout.
+   */
+  abstract probe (url: string, signal: AbortSignal): Promise<boolean>
+
   /**
    * Cancels a request by id, whoever started it.
    *
    * @param url - Base URL of the endpoint.
    * @param requestId - Request to be cancelled.
    * @param signal - Gives up.
+   * @param upToAttempt - Spares later attempts of the same request.
    */
-  abstract cancel (url: string, requestId: string, signal: AbortSignal): Promise<void>
+  abstract cancel (url: string, requestId: string, signal: AbortSignal, upToAttempt?: number): Promise<void>
 
   /**
    * Reads the load report.
@@ -102,4 +157,14 @@
    * @returns The report.
    */
   abstract load (url: string, signal: AbortSignal): Promise<LoadReport>
+
+  /**
+   * Reads changes of the prefix cache.
+   *
+   * @param url - Base URL of the endpoint.
+   * @param since - First sequence number wanted.
+   * @param signal - Gives up.
+   * @returns One page.
+   */
+  abstract cacheEvents (url: string, since: number, signal: AbortSignal): Promise<CacheEventPage>
 }
