Serve a request from caller to prefill to decode, and to plain services

Cause: every later part needs the whole path to hang on. Change: caller listener with OpenAI-style completions (streamed and whole) and plain services by path; request lifecycle machine, record and log; runner that books decode before prefill and goes on at another endpoint when one fails; admin listener with status, requests, explain and drain; jaymilld; stand-ins for engines, services and the platform; a demo that checks what each caller receives. Bookings are counted per host for now, so several hosts can overbook an endpoint, and an idempotency key is only known to the endpoint.

--- /dev/null
+++ b/packages/bench/src/demo/JaymillDemoCaller.ts
@@ -0,0 +1,102 @@
+import { createParser } from 'eventsource-parser'
+import { DEMO_API_KEY, DEMO_MODEL } from './JaymillDemoDocuments.js'
+
+/** What a caller got of a streamed completion. */
+export interface StreamedAnswer {
+  readonly text: string
+  /** Ids of the events in the order of arrival. */
+  readonly ids: readonly number[]
+  /** Whether the end marker came. */
+  readonly complete: boolean
+  /** Problem document of a failed answer. */
+  readonly problem: unknown
+}
+
+/** What a caller got of a plain service. */
+export interface ServiceAnswerSeen {
+  readonly status: number
+  readonly body: Record<string, unknown>
+}
+
+const AUTHORIZATION = { Authorization: `Bearer ${DEMO_API_KEY}` }
+
+/** A caller of the demo. */
+export class DemoCaller {
+  private readonly _url: string
+
+  /**
+   * @param url - Base URL of a host's caller listener.
+   */
+  constructor (url: string) {
+    this._url = url
+  }
+
+  /**
+   * Streams a completion.
+   *
+   * @param prompt - Prompt.
+   * @param maxTokens - Tokens wanted.
+   * @param opts - Extra headers, a hook for each event, and a signal that hangs up.
+   * @returns What arrived.
+   */
+  async stream (prompt: string, maxTokens: number, opts: {
+    headers?: Record<string, string>, onEvent?: (id: number) => void, signal?: AbortSignal
+  } = {}): Promise<StreamedAnswer> {
+    const res = await fetch(`${this._url}/v1/completions`, {
+      method: 'POST',
+      headers: { ...AUTHORIZATION, 'Content-Type': 'application/json', ...opts.headers },
+      body: JSON.stringify({ model: DEMO_MODEL, prompt, max_tokens: maxTokens, stream: true }),
+      signal: opts.signal ?? null
+    })
+    if (!res.ok || res.body === null) return { text: '', ids: [], complete: false, problem: await res.json() }
+    return await readStream(res.body, opts.onEvent ?? (() => {}))
+  }
+
+  /**
+   * Sends a booking.
+   *
+   * @param customer - Who books.
+   * @param key - Idempotency key, if any.
+   * @returns What arrived.
+   */
+  async book (customer: string, key?: string): Promise<ServiceAnswerSeen> {
+    const res = await fetch(`${this._url}/bookings`, {
+      method: 'POST',
+      headers: { ...AUTHORIZATION, 'Content-Type': 'application/json', ...(key === undefined ? {} : { 'Idempotency-Key': key }) },
+      body: JSON.stringify({ customer })
+    })
+    return { status: res.status, body: await res.json() as Record<string, unknown> }
+  }
+
+  /**
+   * Looks stock up.
+   *
+   * @param item - What to look up.
+   * @returns What arrived.
+   */
+  async stock (item: string): Promise<ServiceAnswerSeen> {
+    const res = await fetch(`${this._url}/stock/${item}`, { headers: AUTHORIZATION })
+    return { status: res.status, body: await res.json() as Record<string, unknown> }
+  }
+}
+
+async function readStream (body: ReadableStream<Uint8Array>, onEvent: (id: number) => void): Promise<StreamedAnswer> {
+  const ids: number[] = []
+  const texts: string[] = []
+  let complete = false
+  let problem: unknown
+  const parser = createParser({
+    onEvent: event => {
+      if (event.event === 'error') problem = JSON.parse(event.data)
+      else if (event.data === '[DONE]') complete = true
+      else {
+        ids.push(Number(event.id))
+        texts.push((JSON.parse(event.data) as { choices: Array<{ text: string }> }).choices[0]?.text ?? '')
+        onEvent(ids.length)
+      }
+    }
+  })
+  const decoder = new TextDecoder()
+  for await (const chunk of body as unknown as AsyncIterable<Uint8Array>) parser.feed(decoder.decode(chunk, { stream: true }))
+  return { text: texts.join(''), ids, complete, problem }
+}
--- /dev/null
+++ b/packages/bench/src/demo/JaymillDemoFleet.ts
@@ -0,0 +1,78 @@
+import { Daemon, DaemonUrls, createHostLogger } from '@jaymill/daemon'
+import { parseHostSettings } from '@jaymill/settings'
+import { EngineStandIn } from '../standins/JaymillEngineStandIn.js'
+import { PlatformStandIn } from '../standins/JaymillPlatformStandIn.js'
+import { ServiceStandIn } from '../standins/JaymillServiceStandIn.js'
+import { DEMO_ZONES, demoFleet, demoHosts } from './JaymillDemoDocuments.js'
+import { until } from './JaymillUntil.js'
+
+/** Admin token of the demo's hosts. */
+export const DEMO_ADMIN_TOKEN = 'demo-admin'
+
+const HOSTS = 3
+const PREFILL_ENGINES = 2
+const DECODE_ENGINES = 3
+const SERVICES = 2
+
+/** A running host of the demo. */
+export interface DemoHost {
+  readonly id: string
+  readonly daemon: Daemon
+  readonly urls: DaemonUrls
+}
+
+function create<Value> (count: number, make: (index: number) => Value): Value[] {
+  return Array.from({ length: count }, (_, index) => make(index))
+}
+
+/** Platform, endpoints and hosts of the demo, all in one process on loopback. */
+export class DemoFleet {
+  readonly platform = new PlatformStandIn()
+  readonly prefill = create(PREFILL_ENGINES, () => new EngineStandIn())
+  readonly decode = create(DECODE_ENGINES, () => new EngineStandIn())
+  readonly services = create(SERVICES, () => new ServiceStandIn())
+  readonly hosts: DemoHost[] = []
+
+  /**
+   * Starts everything and waits until every host is ready.
+   *
+   * @param logLevel - Least severe level that hosts log.
+   * @param signal - Ends the stand-ins and kills the hosts.
+   */
+  async start (logLevel: string, signal: AbortSignal): Promise<void> {
+    await Promise.all([this.platform, ...this.prefill, ...this.decode, ...this.services].map(standIn => standIn.start(signal)))
+    const urls = { prefill: urlsOf(this.prefill), decode: urlsOf(this.decode), counter: urlsOf(this.services) }
+    this.platform.publish('jaymill/fleet', demoFleet(1, urls))
+    this.hosts.push(...await Promise.all(create(HOSTS, index => this._startHost(index, logLevel))))
+    signal.addEventListener('abort', () => this.hosts.forEach(({ daemon }) => daemon.kill()), { once: true })
+    this.platform.publish('jaymill/hosts', demoHosts(1, this.hosts.map(({ id, urls }, index) => (
+      { id, zone: zoneOf(index), peerUrl: urls.admin }
+    ))))
+    await Promise.all(this.hosts.map(({ urls }) => until('host ready', async () => (await fetch(`${urls.admin}/readyz`)).ok)))
+  }
+
+  private async _startHost (index: number, logLevel: string): Promise<DemoHost> {
+    const id = `host-${index + 1}`
+    const settings = parseHostSettings(JSON.stringify(this._settings(id, index)), id)
+    const daemon = new Daemon(settings, createHostLogger(logLevel, id))
+    return { id, daemon, urls: await daemon.start() }
+  }
+
+  private _settings (id: string, index: number): object {
+    const listener = { address: '127.0.0.1', port: 0 }
+    return {
+      host: { id, zone: zoneOf(index), region: 'brittany' },
+      listen: { caller: listener, peer: listener, admin: listener, metrics: listener },
+      platform: { kind: 'http', url: this.platform.url },
+      credentials: { peerToken: { value: 'demo-peer' }, adminToken: { value: DEMO_ADMIN_TOKEN } }
+    }
+  }
+}
+
+function zoneOf (index: number): string {
+  return DEMO_ZONES[index % DEMO_ZONES.length] ?? ''
+}
+
+function urlsOf (standIns: ReadonlyArray<{ url: string }>): string[] {
+  return standIns.map(({ url }) => url)
+}
--- /dev/null
+++ b/packages/bench/src/demo/main.ts
@@ -0,0 +1,63 @@
+#!/usr/bin/env node
+import sade from 'sade'
+import { DEMO_MODEL } from './JaymillDemoDocuments.js'
+import { DEMO_ADMIN_TOKEN, DemoFleet } from './JaymillDemoFleet.js'
+import { CancelScenario, EndpointDeathScenario, GracefulStopScenario, ReportsScenario } from './JaymillDemoScenarios.js'
+import { DemoScenario } from './JaymillDemoScenario.js'
+
+const SCENARIOS: readonly DemoScenario[] = [
+  new ReportsScenario(), new CancelScenario(), new EndpointDeathScenario(), new GracefulStopScenario()
+]
+
+function describeFleet (fleet: DemoFleet): object {
+  const pools = { prefill: fleet.prefill, decode: fleet.decode, counter: fleet.services }
+  return {
+    hosts: fleet.hosts.map(({ urls }) => ({ caller: urls.caller, admin: urls.admin })),
+    endpoints: Object.entries(pools).flatMap(([pool, standIns]) => standIns.map(({ url }, i) => (
+      { id: `${pool}-${i + 1}`, pool, state: `${url}/state` }
+    ))),
+    adminToken: DEMO_ADMIN_TOKEN,
+    model: DEMO_MODEL,
+    booking: { method: 'POST', path: '/bookings', body: { customer: 'guide-17' } }
+  }
+}
+
+async function play (fleet: DemoFleet): Promise<boolean> {
+  let ok = true
+  for (const scenario of SCENARIOS) {
+    const result = await scenario.run(fleet)
+    ok &&= result.ok
+    console.log(`${result.ok ? 'held  ' : 'BROKEN'} ${scenario.name}`)
+    result.lines.forEach(line => console.log(`         ${line}`))
+  }
+  return ok
+}
+
+async function main (opts: { keep?: boolean, 'log-level': string }): Promise<void> {
+  const owner = new AbortController()
+  const fleet = new DemoFleet()
+  await fleet.start(opts['log-level'], owner.signal)
+  process.on('SIGTERM', () => {
+    owner.abort()
+    process.exit(0)
+  })
+  if (opts.keep === true) {
+    console.log(JSON.stringify(describeFleet(fleet)))
+    return
+  }
+  const ok = await play(fleet)
+  owner.abort()
+  process.exit(ok ? 0 : 1)
+}
+
+sade('demo', true)
+  .describe('Runs three hosts and their endpoints in this process and checks what every caller receives.')
+  .option('--keep', 'Stay up; print addresses as one JSON line first')
+  .option('--log-level', 'Least severe level that hosts log', 'error')
+  .action((opts: { keep?: boolean, 'log-level': string }) => {
+    main(opts).catch(err => {
+      console.error(err)
+      process.exit(1)
+    })
+  })
+  .parse(process.argv)
--- /dev/null
+++ b/packages/bench/src/standins/JaymillEngineStandIn.ts
@@ -0,0 +1,269 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { nextToken } from './JaymillDeterministicText.js'
+import { readJson, sendJson, StandInServer } from './JaymillStandInServer.js'
+
+const CHARS_PER_TOKEN = 4
+const FINISHED_KEPT = 256
+
+/** Sizes and pace of an engine stand-in. */
+export interface EngineStandInOptions {
+  readonly slots: number
+  readonly pieces: number
+  readonly tokensPerPiece: number
+  readonly prefillMsPerToken: number
+  readonly interTokenMs: number
+  /** Life of a prefill result, in milliseconds. */
+  readonly kvTtlMs: number
+}
+
+const DEFAULTS: EngineStandInOptions = {
+  slots: 20, pieces: 2_000, tokensPerPiece: 16, prefillMsPerToken: 0.02, interTokenMs: 4, kvTtlMs: 800
+}
+
+interface Generation {
+  readonly requestId: string
+  readonly attempt: number
+  readonly hostId: string
+  readonly incarnation: number
+  readonly pieces: number
+  readonly startedMs: number
+  readonly tokens: string[]
+  readonly cancel: AbortController
+  maxTokens: number
+  done: boolean
+  wake: Array<() => void>
+}
+
+/**
+ * Engine of a prefill or decode pool. A decode goes on after its connection has closed, so memory is freed only by a
+ * cancel or by the end of the answer: the harshest reading of the protocol.
+ */
+export class EngineStandIn extends StandInServer {
+  private readonly _opts: EngineStandInOptions
+  private readonly _running = new Map<string, Generation>()
+  private readonly _finished = new Map<string, Generation>()
+  private readonly _exported = new Map<string, { pieces: number, requestId: string, timer: NodeJS.Timeout }>()
+  private _cancelled = 0
+  private _paceFactor = 1
+  private _killOnPrompt: string | undefined
+  private _order: Record<string, unknown> = { fencingToken: 0 }
+
+  /**
+   * @param opts - Sizes and pace that differ from the defaults.
+   */
+  constructor (opts: Partial<EngineStandInOptions> = {}) {
+    super()
+    this._opts = { ...DEFAULTS, ...opts }
+  }
+
+  /** Requests that hold engine memory. */
+  get running (): number {
+    return this._running.size
+  }
+
+  /** Pieces held by running requests and prefill results. */
+  get heldPieces (): number {
+    const sum = (items: Iterable<{ pieces: number }>): number => [...items].reduce((total, { pieces }) => total + pieces, 0)
+    return sum(this._running.values()) + sum(this._exported.values())
+  }
+
+  /** Tokens sent so far over all answers. */
+  get tokensOut (): number {
+    return [...this._running.values(), ...this._finished.values()].reduce((total, { tokens }) => total + tokens.length, 0)
+  }
+
+  /**
+   * Slows the engine down.
+   *
+   * @param factor - Multiplies every time.
+   */
+  slow (factor: number): void {
+    this._paceFactor = factor
+  }
+
+  /**
+   * Makes the engine die whenever it runs a prompt that contains a text.
+   *
+   * @param text - Text that kills it.
+   */
+  killOn (text: string): void {
+    this._killOnPrompt = text
+  }
+
+  /** {@inheritDoc StandInServer.kill} */
+  override kill (): void {
+    this._running.forEach(({ cancel }) => cancel.abort())
+    this._running.clear()
+    this._exported.forEach(({ timer }) => clearTimeout(timer))
+    this._exported.clear()
+    super.kill()
+  }
+
+  /** {@inheritDoc StandInServer.handle} */
+  protected async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', this.url)
+    const [, id] = /^\/v1\/requests\/([^/]+)/.exec(url.pathname) ?? []
+    if (url.pathname === '/v1/completions') return await this._complete(req, res)
+    if (id !== undefined && req.method === 'DELETE') return this._cancel(decodeURIComponent(id), res)
+    if (id !== undefined) return await this._resume(decodeURIComponent(id), req, res)
+    if (url.pathname.startsWith('/kv/')) return this._take(url.pathname.slice('/kv/'.length), res)
+    if (url.pathname === '/orders') return await this._orders(req, res)
+    if (url.pathname === '/load') return sendJson(res, 200, this._load())
+    if (url.pathname === '/state') return sendJson(res, 200, this._state())
+    if (url.pathname === '/cache_events') return sendJson(res, 200, { events: [], next: 0 })
+    sendJson(res, url.pathname === '/health' ? 200 : 404, {})
+  }
+
+  private _state (): object {
+    return { running: this.running, heldPieces: this.heldPieces, received: this.received, cancelled: this._cancelled }
+  }
+
+  private _load (): object {
+    const now = performance.now()
+    const running = [...this._running.values()].map(({ requestId, attempt, hostId, incarnation, pieces, startedMs }) => (
+      { requestId, attempt, hostId, incarnation, pieces, ageMs: now - startedMs }
+    ))
+    return { running, heldPieces: this.heldPieces, ageMs: 0 }
+  }
+
+  private async _complete (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readJson(req)
+    this.note(req)
+    const prompt = String(body.prompt)
+    if (this._killOnPrompt !== undefined && prompt.includes(this._killOnPrompt)) return this.kill()
+    if (this._running.size >= this._opts.slots) return sendJson(res, 429, { error: 'full' })
+    const kv = body.kv_transfer_params as Record<string, unknown> | undefined
+    if (kv?.do_remote_decode === true) return await this._prefill(req, res, prompt)
+    if (kv?.do_remote_prefill === true && !await this._fetchKv(kv)) return sendJson(res, 410, { error: 'prefill result has expired' })
+    const generation = this._generation(req, prompt, Number(body.max_tokens))
+    if (kv?.do_remote_prefill !== true) await sleep(this._prefillMs(prompt))
+    this._generate(generation, prompt).catch(() => this.kill())
+    await this._stream(generation, 0, res)
+  }
+
+  private _generation (req: IncomingMessage, prompt: string, maxTokens: number): Generation {
+    const generation: Generation = {
+      requestId: String(req.headers['x-request-id']),
+      attempt: Number(req.headers['x-jaymill-attempt'] ?? 1),
+      hostId: String(req.headers['x-jaymill-host'] ?? ''),
+      incarnation: Number(req.headers['x-jaymill-incarnation'] ?? 0),
+      pieces: Math.ceil((prompt.length / CHARS_PER_TOKEN + maxTokens) / this._opts.tokensPerPiece),
+      startedMs: performance.now(),
+      tokens: [],
+      cancel: new AbortController(),
+      maxTokens,
+      done: false,
+      wake: []
+    }
+    this._running.get(generation.requestId)?.cancel.abort()
+    this._running.set(generation.requestId, generation)
+    return generation
+  }
+
+  private _prefillMs (prompt: string): number {
+    return prompt.length / CHARS_PER_TOKEN * this._opts.prefillMsPerToken * this._paceFactor
+  }
+
+  private async _prefill (req: IncomingMessage, res: ServerResponse, prompt: string): Promise<void> {
+    const generation = this._generation(req, prompt, 1)
+    await sleep(this._prefillMs(prompt), undefined, { signal: generation.cancel.signal }).catch(() => undefined)
+    this._running.delete(generation.requestId)
+    if (generation.cancel.signal.aborted) return sendJson(res, 499, { error: 'cancelled' })
+    const block = `${generation.requestId}.${generation.attempt}`
+    const timer = setTimeout(() => this._exported.delete(block), this._opts.kvTtlMs)
+    this._exported.set(block, { pieces: generation.pieces, requestId: generation.requestId, timer })
+    const { hostname, port } = new URL(this.url)
+    sendJson(res, 200, {
+      choices: [{ text: nextToken(prompt), finish_reason: 'length' }],
+      usage: { prompt_tokens: Math.ceil(prompt.length / CHARS_PER_TOKEN) },
+      kv_transfer_params: { do_remote_prefill: true, remote_engine_id: port, remote_block_ids: [block], remote_host: hostname, remote_port: Number(port) }
+    })
+  }
+
+  private async _fetchKv (kv: Record<string, unknown>): Promise<boolean> {
+    const [block] = kv.remote_block_ids as string[]
+    const url = `http://${String(kv.remote_host)}:${String(kv.remote_port)}/kv/${String(block)}`
+    return await fetch(url, { method: 'POST' }).then(res => res.ok, () => false)
+  }
+
+  private _take (block: string, res: ServerResponse): void {
+    const taken = this._exported.get(decodeURIComponent(block))
+    clearTimeout(taken?.timer)
+    this._exported.delete(decodeURIComponent(block))
+    sendJson(res, taken === undefined ? 404 : 200, {})
+  }
+
+  private async _generate (generation: Generation, prompt: string): Promise<void> {
+    let text = prompt
+    while (generation.tokens.length < generation.maxTokens && !generation.cancel.signal.aborted) {
+      await sleep(this._opts.interTokenMs * this._paceFactor)
+      const token = nextToken(text)
+      text += token
+      generation.tokens.push(token)
+      this._wake(generation)
+    }
+    generation.done = true
+    if (this._running.get(generation.requestId) === generation) this._running.delete(generation.requestId)
+    if (!generation.cancel.signal.aborted) this._keep(generation)
+    this._wake(generation)
+  }
+
+  private _keep (generation: Generation): void {
+    this._finished.set(generation.requestId, generation)
+    const [oldest] = this._finished.keys()
+    if (this._finished.size > FINISHED_KEPT && oldest !== undefined) this._finished.delete(oldest)
+  }
+
+  private _wake (generation: Generation): void {
+    generation.wake.splice(0).forEach(resolve => resolve())
+  }
+
+  private async _stream (generation: Generation, after: number, res: ServerResponse): Promise<void> {
+    res.writeHead(200, { 'Content-Type': 'text/event-stream' })
+    res.flushHeaders()
+    res.once('close', () => this._wake(generation))
+    let sent = after
+    while (!res.destroyed) {
+      if (sent < generation.tokens.length && !this.frozen) {
+        const last = sent + 1 === generation.maxTokens
+        const choice = { index: 0, text: generation.tokens[sent], finish_reason: last ? 'length' : null }
+        res.write(`id: ${++sent}\ndata: ${JSON.stringify({ choices: [choice] })}\n\n`)
+      } else if (generation.done && sent >= generation.tokens.length) {
+        break
+      } else {
+        await new Promise<void>(resolve => generation.wake.push(resolve))
+      }
+    }
+    if (generation.cancel.signal.aborted) res.destroy()
+    else res.end('data: [DONE]\n\n')
+  }
+
+  private async _resume (requestId: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const generation = this._running.get(requestId) ?? this._finished.get(requestId)
+    if (generation === undefined) return sendJson(res, 404, {})
+    await this._stream(generation, Number(req.headers['last-event-id'] ?? 0), res)
+  }
+
+  private _cancel (requestId: string, res: ServerResponse): void {
+    const generation = this._running.get(requestId)
+    const exported = [...this._exported].filter(([, entry]) => entry.requestId === requestId)
+    exported.forEach(([block, { timer }]) => {
+      clearTimeout(timer)
+      this._exported.delete(block)
+    })
+    generation?.cancel.abort()
+    if (generation !== undefined) this._wake(generation)
+    this._running.delete(requestId)
+    if (generation !== undefined || exported.length > 0) this._cancelled++
+    sendJson(res, 200, {})
+  }
+
+  private async _orders (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.method === 'GET') return sendJson(res, 200, this._order)
+    const order = await readJson(req)
+    if (Number(order.fencingToken) < Number(this._order.fencingToken)) return sendJson(res, 409, { error: 'stale fencing token' })
+    this._order = { ...this._order, ...order }
+    sendJson(res, 200, this._order)
+  }
+}
--- /dev/null
+++ b/packages/bench/src/standins/JaymillStandInServer.ts
@@ -0,0 +1,108 @@
+import { once } from 'node:events'
+import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** One call as a stand-in received it. */
+export interface ReceivedCall {
+  readonly requestId: string
+  readonly idempotencyKey: string | null
+}
+
+/** Base of the stand-ins: an HTTP server on loopback. */
+export abstract class StandInServer {
+  private readonly _server: Server
+  private _frozen = false
+  protected readonly received: ReceivedCall[] = []
+
+  constructor () {
+    this._server = createServer((req, res) => { this._serve(req, res).catch(() => res.destroy()) })
+  }
+
+  /** Base URL; valid after `start`. */
+  get url (): string {
+    return `http://127.0.0.1:${(this._server.address() as AddressInfo).port}`
+  }
+
+  /** Whether the stand-in has stopped answering on open connections. */
+  get frozen (): boolean {
+    return this._frozen
+  }
+
+  /**
+   * Listens on a free port until the signal aborts.
+   *
+   * @param signal - Closes the server and its connections.
+   */
+  async start (signal: AbortSignal): Promise<void> {
+    this._server.listen(0, '127.0.0.1')
+    await once(this._server, 'listening')
+    signal.addEventListener('abort', () => this.kill(), { once: true })
+  }
+
+  /** Closes the listener and resets every connection. */
+  kill (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  /** Stops sending on every open connection without closing it. */
+  freeze (): void {
+    this._frozen = true
+  }
+
+  /** Serves again. */
+  thaw (): void {
+    this._frozen = false
+  }
+
+  /**
+   * @param req - Request.
+   * @param res - Response.
+   */
+  protected abstract handle (req: IncomingMessage, res: ServerResponse): Promise<void>
+
+  /**
+   * Notes a call in the order of arrival.
+   *
+   * @param req - Request.
+   */
+  protected note (req: IncomingMessage): void {
+    this.received.push({
+      requestId: String(req.headers['x-request-id'] ?? ''),
+      idempotencyKey: req.headers['idempotency-key'] === undefined ? null : String(req.headers['idempotency-key'])
+    })
+  }
+
+  private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    try {
+      if (!this._frozen) await this.handle(req, res)
+    } catch {
+      res.destroy()
+    }
+  }
+}
+
+/**
+ * Reads a JSON body.
+ *
+ * @param req - Request.
+ * @returns The parsed value; an empty body gives an empty object.
+ */
+export async function readJson (req: IncomingMessage): Promise<Record<string, unknown>> {
+  const chunks: Buffer[] = []
+  for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
+  const text = Buffer.concat(chunks).toString('utf8')
+  return text === '' ? {} : JSON.parse(text) as Record<string, unknown>
+}
+
+/**
+ * Answers with JSON.
+ *
+ * @param res - Response.
+ * @param status - HTTP status.
+ * @param value - Body.
+ */
+export function sendJson (res: ServerResponse, status: number, value: unknown): void {
+  res.writeHead(status, { 'Content-Type': 'application/json' })
+  res.end(JSON.stringify(value))
+}
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './JaymillRequestLog.js'
+export * from './JaymillRequestMachine.js'
+export * from './JaymillRequestRecord.js'
--- /dev/null
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -0,0 +1,115 @@
+import { ErrorKind, HostIdentity, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
+import { HttpServiceClient, UndiciEngineClient } from '@jaymill/adapters'
+import { HostSettings, readSecret } from '@jaymill/settings'
+import type { Logger } from 'winston'
+import { AdminServer } from './admin/JaymillAdminServer.js'
+import { CallerServer } from './callers/JaymillCallerServer.js'
+import { PublishedDocuments } from './config/JaymillPublishedDocuments.js'
+import { ThinPlatformReader } from './config/JaymillThinPlatformReader.js'
+import type { HostContext } from './JaymillHostContext.js'
+import { createHostLogger } from './logging/JaymillLogger.js'
+import { SystemClock } from './ports/JaymillSystemClock.js'
+import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
+import { SystemRandom } from './ports/JaymillSystemRandom.js'
+import { LocalSlotBooker } from './routing/JaymillLocalSlotBooker.js'
+
+const REQUESTS_KEPT = 10_000
+
+/** Addresses a daemon listens on. */
+export interface DaemonUrls {
+  readonly caller: string
+  readonly admin: string
+}
+
+/** One host of the system: listeners, published documents and what serves requests. */
+export class Daemon {
+  private readonly _documents = new PublishedDocuments()
+  private readonly _owner = new AbortController()
+  private readonly _ctx: HostContext
+  private readonly _callers: CallerServer
+  private readonly _admin: AdminServer
+  private readonly _platform: PlatformReader
+  private _draining = false
+  private _stopped: Promise<void> | undefined
+
+  /**
+   * @param settings - Settings of the host.
+   * @param log - Logger; by default structured lines on standard error.
+   */
+  constructor (settings: HostSettings, log: Logger = createHostLogger(settings.log.level, settings.host.id)) {
+    const clock = new SystemClock()
+    const identity: HostIdentity = { ...settings.host, incarnation: settings.host.incarnation ?? clock.wallMs() }
+    const { _documents: documents } = this
+    this._ctx = {
+      settings,
+      identity,
+      clock,
+      log,
+      random: new SystemRandom(),
+      requests: new RequestLog(REQUESTS_KEPT),
+      engines: new UndiciEngineClient({ signal: this._owner.signal }),
+      services: new HttpServiceClient({ signal: this._owner.signal }),
+      booker: new LocalSlotBooker(() => documents.fleet(), () => documents.hosts(), identity.id),
+      fleet: () => documents.fleet(),
+      hosts: () => documents.hosts(),
+      draining: () => this._draining
+    }
+    this._platform = new ThinPlatformReader(settings.platform)
+    this._callers = new CallerServer(this._ctx)
+    this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', new SystemSecretReader()), {
+      drain: () => { this.stop().catch(err => this._ctx.log.error('drain failed', { err })) },
+      ready: () => this._ready
+    })
+  }
+
+  /**
+   * Starts the listeners and follows the platform.
+   *
+   * @returns Addresses.
+   */
+  async start (): Promise<DaemonUrls> {
+    const urls = { caller: await this._callers.listen(), admin: await this._admin.listen() }
+    this._documents.follow(this._platform, this._ctx.log, this._owner.signal).catch(err => this._reportFollowing(err))
+    this._ctx.log.info('host started', { ...urls, incarnation: this._ctx.identity.incarnation })
+    return urls
+  }
+
+  /**
+   * Stops gracefully: refuses new work at once, lets all running work end, then releases everything.
+   *
+   * @returns When everything is released; every call gives the same promise.
+   */
+  async stop (): Promise<void> {
+    this._stopped ??= this._drain()
+    await this._stopped
+  }
+
+  /** Releases everything at once, as a crash would. */
+  kill (): void {
+    this._owner.abort(new RequestError(ErrorKind.Stopping, 'the host was killed'))
+    this._callers.close()
+    this._admin.close()
+  }
+
+  private get _ready (): boolean {
+    return this._documents.ready && !this._draining
+  }
+
+  private async _drain (): Promise<void> {
+    this._draining = true
+    const deadline = setTimeout(() => this._reportDeadline(), this._ctx.settings.drainDeadlineMs)
+    this._ctx.log.info('drain started', { running: this._callers.inFlight })
+    await this._callers.idle()
+    clearTimeout(deadline)
+    this._ctx.log.info('drain complete')
+    this.kill()
+  }
+
+  private _reportDeadline (): void {
+    this._ctx.log.error('drain deadline has passed, work still runs', { running: this._callers.inFlight })
+  }
+
+  private _reportFollowing (err: unknown): void {
+    if (!this._owner.signal.aborted) this._ctx.log.error('platform watch ended', { err })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -0,0 +1,33 @@
+import type {
+  Clock, EngineClient, FleetConfig, HostIdentity, HostList, Random, RequestLog, SlotBooker
+} from '@jaymill/core'
+import type { HttpServiceClient } from '@jaymill/adapters'
+import type { HostSettings } from '@jaymill/settings'
+import type { Logger } from 'winston'
+
+/** What the rooms of the daemon share. */
+export interface HostContext {
+  readonly settings: HostSettings
+  readonly identity: HostIdentity
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Logger
+  readonly requests: RequestLog
+  readonly engines: EngineClient
+  readonly services: HttpServiceClient
+  readonly booker: SlotBooker
+  /**
+   * @returns The configuration in force.
+   * @throws RequestError of kind `NotReady` before the first one.
+   */
+  fleet: () => FleetConfig
+  /**
+   * @returns The host list in force.
+   * @throws RequestError of kind `NotReady` before the first one.
+   */
+  hosts: () => HostList
+  /**
+   * @returns Whether the host is stopping.
+   */
+  draining: () => boolean
+}
--- /dev/null
+++ b/packages/daemon/src/callers/JaymillCallerExchange.ts
@@ -0,0 +1,57 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { AccountConfig, ErrorKind, RanState, RequestError, RouteConfig } from '@jaymill/core'
+import type { CallerHeaders } from './JaymillCallerRequest.js'
+
+const SHORTEST_DEADLINE_MS = 1
+
+/** One request of a caller with its response. */
+export interface CallerExchange {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly headers: CallerHeaders
+  readonly account: AccountConfig
+  /** Aborts when the caller is gone. */
+  readonly signal: AbortSignal
+}
+
+/** A signal with the time at which it aborts. */
+export interface Deadline {
+  readonly signal: AbortSignal
+  /** Budget in milliseconds. */
+  readonly budgetMs: number
+}
+
+/**
+ * Makes a signal that aborts when the caller's connection closes before the answer is complete.
+ *
+ * @param res - Response to the caller.
+ * @returns The signal; its reason is a RequestError of kind `CallerGone`.
+ */
+export function callerSignal (res: ServerResponse): AbortSignal {
+  const controller = new AbortController()
+  res.once('close', () => {
+    if (!res.writableFinished) {
+      controller.abort(new RequestError(ErrorKind.CallerGone, 'the caller closed the connection', { ran: RanState.Unknown }))
+    }
+  })
+  return controller.signal
+}
+
+/**
+ * Joins the caller's signal with the deadline of the request.
+ *
+ * @param exchange - Request of a caller.
+ * @param route - Route with its own deadline; the caller may ask for a shorter one.
+ * @param owner - Releases the timer when it aborts.
+ * @returns The joined deadline; past it the reason is a RequestError of kind `Deadline`.
+ */
+export function withDeadline (exchange: CallerExchange, route: RouteConfig, owner: AbortSignal): Deadline {
+  const budgetMs = Math.max(SHORTEST_DEADLINE_MS, Math.min(route.deadlineMs, exchange.headers.deadlineMs ?? Infinity))
+  const controller = new AbortController()
+  const expire = (): void => controller.abort(
+    new RequestError(ErrorKind.Deadline, `the deadline of ${budgetMs} ms has passed`, { ran: RanState.Unknown })
+  )
+  const timer = setTimeout(expire, budgetMs)
+  owner.addEventListener('abort', () => clearTimeout(timer), { once: true })
+  return { signal: AbortSignal.any([exchange.signal, controller.signal]), budgetMs }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -0,0 +1,96 @@
+import { once } from 'node:events'
+import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { randomUUID } from 'node:crypto'
+import { ErrorKind, RequestError } from '@jaymill/core'
+import type { HostContext } from '../JaymillHostContext.js'
+import { callerSignal, CallerExchange } from './JaymillCallerExchange.js'
+import { authenticate, readCallerHeaders } from './JaymillCallerRequest.js'
+import { COMPLETION_FORMS, CompletionRoute } from './JaymillCompletionRoute.js'
+import { sendProblem } from './JaymillProblemReply.js'
+import { ServiceRoute } from './JaymillServiceRoute.js'
+
+const KEEP_ALIVE_PROBE_MS = 2_000
+const DRAIN_RETRY_AFTER_MS = 1_000
+
+/** Listener for callers. */
+export class CallerServer {
+  private readonly _ctx: HostContext
+  private readonly _server: Server
+  private readonly _completions: CompletionRoute
+  private readonly _services: ServiceRoute
+  private _inFlight = 0
+  private _idle: (() => void) | undefined
+
+  /**
+   * @param ctx - Shared parts of the host.
+   */
+  constructor (ctx: HostContext) {
+    this._ctx = ctx
+    this._completions = new CompletionRoute(ctx)
+    this._services = new ServiceRoute(ctx)
+    this._server = createServer(
+      { maxHeaderSize: ctx.settings.limits.headerBytes, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS },
+      (req, res) => { this._serve(req, res).catch(err => ctx.log.error('request handler failed', { err })) }
+    )
+  }
+
+  /** Requests being served. */
+  get inFlight (): number {
+    return this._inFlight
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns Base URL.
+   */
+  async listen (): Promise<string> {
+    const { address, port } = this._ctx.settings.listen.caller
+    this._server.listen(port, address)
+    await once(this._server, 'listening')
+    return `http://${address}:${(this._server.address() as AddressInfo).port}`
+  }
+
+  /**
+   * Waits until no request is being served.
+   */
+  async idle (): Promise<void> {
+    if (this._inFlight === 0) return
+    await new Promise<void>(resolve => { this._idle = resolve })
+  }
+
+  /** Closes the listener and every connection. */
+  close (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this._inFlight++
+    let requestId: string | undefined
+    try {
+      const headers = readCallerHeaders(req, randomUUID)
+      requestId = headers.requestId
+      if (this._ctx.draining()) {
+        throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { retryAfterMs: DRAIN_RETRY_AFTER_MS })
+      }
+      const account = authenticate(req, this._ctx.fleet().accounts)
+      await this._dispatch({ req, res, headers, account, signal: callerSignal(res) })
+    } catch (err) {
+      this._ctx.log.warn('request refused or failed', { requestId, err })
+      sendProblem(res, err, requestId)
+    } finally {
+      if (!req.complete) req.resume()
+      if (--this._inFlight === 0) this._idle?.()
+    }
+  }
+
+  private async _dispatch (exchange: CallerExchange): Promise<void> {
+    const path = new URL(exchange.req.url ?? '/', 'http://caller').pathname
+    const method = exchange.req.method ?? 'GET'
+    const form = COMPLETION_FORMS[path]
+    if (form !== undefined && method === 'POST') await this._completions.handle(exchange, form)
+    else await this._services.handle(exchange, this._services.match(method, path))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/JaymillCompletionReply.ts
@@ -0,0 +1,73 @@
+import { once } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import { ErrorKind, RanState, RequestError, TokenEvent } from '@jaymill/core'
+import { CompletionBody, CompletionForm } from './JaymillCompletionBody.js'
+
+/** Names that a reply repeats. */
+export interface CompletionReplyMeta {
+  readonly requestId: string
+  readonly created: number
+}
+
+function choiceOf (body: CompletionBody, event: TokenEvent): object {
+  const content = body.form === CompletionForm.Chat ? { delta: { content: event.text } } : { text: event.text }
+  return { index: 0, ...content, finish_reason: event.finishReason }
+}
+
+function envelope (body: CompletionBody, meta: CompletionReplyMeta, choice: object, streamed: boolean): object {
+  const object = body.form === CompletionForm.Text
+    ? 'text_completion'
+    : streamed ? 'chat.completion.chunk' : 'chat.completion'
+  return { id: meta.requestId, object, created: meta.created, model: body.model, choices: [choice] }
+}
+
+async function write (res: ServerResponse, text: string, signal: AbortSignal): Promise<void> {
+  if (res.write(text)) return
+  await once(res, 'drain', { signal })
+}
+
+/**
+ * Streams an answer as server-sent events whose ids are token positions.
+ *
+ * @param res - Response to the caller.
+ * @param body - What the caller asked for.
+ * @param meta - Names to be repeated.
+ * @param events - Tokens in order.
+ * @param signal - Aborts when the caller is gone.
+ */
+export async function streamCompletion (
+  res: ServerResponse, body: CompletionBody, meta: CompletionReplyMeta, events: AsyncIterable<TokenEvent>, signal: AbortSignal
+): Promise<void> {
+  const begin = (): void => {
+    if (!res.headersSent) res.writeHead(200, { 'Content-Type': 'text/event-stream', 'Cache-Control': 'no-store', 'X-Request-Id': meta.requestId })
+  }
+  for await (const event of events) {
+    begin()
+    await write(res, `id: ${event.id}\ndata: ${JSON.stringify(envelope(body, meta, choiceOf(body, event), true))}\n\n`, signal)
+  }
+  begin()
+  res.end('data: [DONE]\n\n')
+}
+
+/**
+ * Collects an answer and sends it as one document.
+ *
+ * @param res - Response to the caller.
+ * @param body - What the caller asked for.
+ * @param meta - Names to be repeated.
+ * @param events - Tokens in order.
+ */
+export async function sendCompletion (
+  res: ServerResponse, body: CompletionBody, meta: CompletionReplyMeta, events: AsyncIterable<TokenEvent>
+): Promise<void> {
+  const collected: TokenEvent[] = []
+  for await (const event of events) collected.push(event)
+  const last = collected.at(-1)
+  if (last === undefined) throw new RequestError(ErrorKind.EndpointFailed, 'the engine sent no token', { ran: RanState.Yes })
+  const text = collected.map(event => event.text).join('')
+  const content = body.form === CompletionForm.Chat ? { message: { role: 'assistant', content: text } } : { text }
+  const choice = { index: 0, ...content, finish_reason: last.finishReason }
+  const usage = { completion_tokens: collected.length }
+  res.writeHead(200, { 'Content-Type': 'application/json', 'X-Request-Id': meta.requestId })
+  res.end(JSON.stringify({ ...envelope(body, meta, choice, false), usage }))
+}
--- /dev/null
+++ b/packages/daemon/src/callers/JaymillCompletionRoute.ts
@@ -0,0 +1,109 @@
+import { ErrorKind, ModelConfig, RequestError, RequestRecord, RouteClass, RouteConfig } from '@jaymill/core'
+import type { HostContext } from '../JaymillHostContext.js'
+import { CompletionJob } from '../requests/JaymillCompletionJob.js'
+import { CompletionRunner } from '../requests/JaymillCompletionRunner.js'
+import { endRecord } from '../requests/JaymillRecordEnd.js'
+import { parseJson, readBody } from './JaymillBody.js'
+import { CallerExchange, withDeadline } from './JaymillCallerExchange.js'
+import { CompletionBody, CompletionForm, parseCompletionBody } from './JaymillCompletionBody.js'
+import { sendCompletion, streamCompletion } from './JaymillCompletionReply.js'
+
+const MODEL_CLASSES: readonly RouteClass[] = [RouteClass.Verdict, RouteClass.Summary]
+const MS_PER_SECOND = 1_000
+
+/** Paths of the completion API. */
+export const COMPLETION_FORMS: Readonly<Record<string, CompletionForm>> = {
+  '/v1/completions': CompletionForm.Text,
+  '/v1/chat/completions': CompletionForm.Chat
+}
+
+/** Serves completions. */
+export class CompletionRoute {
+  private readonly _ctx: HostContext
+  private readonly _runner: CompletionRunner
+
+  /**
+   * @param ctx - Shared parts of the host.
+   */
+  constructor (ctx: HostContext) {
+    this._ctx = ctx
+    this._runner = new CompletionRunner(ctx)
+  }
+
+  /**
+   * Serves one completion.
+   *
+   * @param exchange - Request of a caller.
+   * @param form - Form of the API that was called.
+   * @throws RequestError when the request cannot be served.
+   */
+  async handle (exchange: CallerExchange, form: CompletionForm): Promise<void> {
+    const raw = await readBody(exchange.req, this._ctx.settings.limits.bodyBytes)
+    const body = parseCompletionBody(form, parseJson(raw))
+    const model = this._model(body.model)
+    const route = this._route(model, exchange.headers.routeId)
+    const record = this._ctx.requests.open({
+      requestId: exchange.headers.requestId,
+      accountId: exchange.account.id,
+      routeId: route.id,
+      routeClass: route.class,
+      ...(exchange.headers.idempotencyKey === undefined ? {} : { idempotencyKey: exchange.headers.idempotencyKey })
+    }, this._ctx.clock.nowMs())
+    await endRecord(this._ctx, record, () => this._serve(exchange, body, model, route, record))
+  }
+
+  private async _serve (
+    exchange: CallerExchange, body: CompletionBody, model: ModelConfig, route: RouteConfig, record: RequestRecord
+  ): Promise<void> {
+    const owner = new AbortController()
+    try {
+      const { signal } = withDeadline(exchange, route, owner.signal)
+      const job = this._job(exchange, body, model, route, record)
+      const events = this._counted(job, signal)
+      const meta = { requestId: job.requestId, created: Math.floor(this._ctx.clock.wallMs() / MS_PER_SECOND) }
+      if (body.stream) await streamCompletion(exchange.res, body, meta, events, signal)
+      else await sendCompletion(exchange.res, body, meta, events)
+    } finally {
+      owner.abort()
+    }
+  }
+
+  private async * _counted (job: CompletionJob, signal: AbortSignal): ReturnType<CompletionRunner['run']> {
+    for await (const event of this._runner.run(job, signal)) {
+      job.record.noteTokens(this._ctx.clock.nowMs())
+      yield event
+    }
+  }
+
+  private _job (
+    exchange: CallerExchange, body: CompletionBody, model: ModelConfig, route: RouteConfig, record: RequestRecord
+  ): CompletionJob {
+    return {
+      requestId: exchange.headers.requestId,
+      idempotencyKey: exchange.headers.idempotencyKey,
+      account: exchange.account,
+      route,
+      model,
+      modelName: body.model,
+      prompt: body.prompt,
+      maxTokens: body.maxTokens,
+      sampling: body.sampling,
+      record
+    }
+  }
+
+  private _model (name: string): ModelConfig {
+    const model = this._ctx.fleet().models.find(({ id, adapters }) => id === name || adapters.includes(name))
+    if (model === undefined) throw new RequestError(ErrorKind.NotFound, `model ${name} is not configured`)
+    return model
+  }
+
+  private _route (model: ModelConfig, wanted: string | undefined): RouteConfig {
+    const id = wanted ?? model.route
+    const route = this._ctx.fleet().routes.find(candidate => candidate.id === id)
+    if (route === undefined || !MODEL_CLASSES.includes(route.class)) {
+      throw new RequestError(ErrorKind.BadRequest, `route ${id} does not serve models`)
+    }
+    return route
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './JaymillDaemon.js'
+export * from './logging/JaymillLogger.js'
