Decide recovery of streams, straggler weights, hedges, retries and quarantine

Streams break, go silent and die with their endpoint; some endpoints are slow while their own report says nothing; a single request can kill each endpoint that runs it. The decisions are pure modules with their baselines.

AnswerAssembler takes each token once, by id and attempt. ResumeOrMovePlanner probes, resumes or moves within bounds and states the effect of all attempts together. AnswerStore lets a resend join, continue or replay an answer inside a memory bound. ObservedPaceScorer compares own and peers' times with the pool by median and MAD. RetryBudget and PercentileHedge keep copies below a fixed share. Quarantine holds deaths against fingerprints, separates suspects and is shared as bounded, expiring state.

--- /dev/null
+++ b/packages/core/src/health/JaymillRobustStatistics.ts
@@ -0,0 +1,44 @@
+import { MAD_TO_SIGMA } from './constants.js'
+
+/**
+ * @param values - Any numbers.
+ * @returns The median; `NaN` without values.
+ */
+export function median (values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  const middle = sorted.length >> 1
+  if (sorted.length % 2 === 1) return sorted[middle] as number
+  return ((sorted[middle - 1] ?? NaN) + (sorted[middle] ?? NaN)) / 2
+}
+
+/**
+ * Spread of values by the median absolute deviation (Hampel, 1974), scaled to a standard deviation.
+ *
+ * @param values - Any numbers.
+ * @returns The spread; `NaN` without values.
+ */
+export function robustSigma (values: readonly number[]): number {
+  const centre = median(values)
+  return MAD_TO_SIGMA * median(values.map(value => Math.abs(value - centre)))
+}
+
+/** A value and how much it counts. */
+export interface WeightedValue {
+  readonly value: number
+  readonly weight: number
+}
+
+/**
+ * @param items - Values with weights above 0.
+ * @returns The weighted median; `NaN` without values.
+ */
+export function weightedMedian (items: readonly WeightedValue[]): number {
+  const sorted = [...items].sort((a, b) => a.value - b.value)
+  const half = sorted.reduce((sum, item) => sum + item.weight, 0) / 2
+  let sum = 0
+  const found = sorted.find(item => {
+    sum += item.weight
+    return sum >= half
+  })
+  return found?.value ?? NaN
+}
--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -1,1 +1,10 @@
-export {}
+export * from './JaymillEjection.js'
+export * from './JaymillFingerprint.js'
+export * from './JaymillHealthDigest.js'
+export * from './JaymillHedgePolicy.js'
+export * from './JaymillObservedPaceScorer.js'
+export * from './JaymillPaceMeasure.js'
+export * from './JaymillQuarantine.js'
+export * from './JaymillRetryBudget.js'
+export * from './JaymillStragglerScorer.js'
+export * from './JaymillSuspect.js'
--- a/packages/core/src/streams/index.ts
+++ b/packages/core/src/streams/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './JaymillAnswerAssembler.js'
+export * from './JaymillAnswerBuffer.js'
+export * from './JaymillAnswerStore.js'
+export * from './JaymillExpectedPace.js'
+export * from './JaymillRecoveryPlanner.js'
