Add authenticated calls and stream forwarding between hosts

Cause: heartbeats, lease questions, bookings and published documents need a common, bounded and authenticated way between hosts, and streamed requests need a way that keeps backpressure.

Conclusion: the other matters can bring their handlers.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,1 +1,2 @@
 export * from './endpoints/index.js'
+export * from './peers/index.js'
--- /dev/null
+++ b/packages/adapters/src/peers/JaymillByteCounter.ts
@@ -0,0 +1,41 @@
+import type { Socket } from 'node:net'
+
+/** Bytes that have crossed connections. */
+export interface ByteCounts {
+  readonly bytesIn: number
+  readonly bytesOut: number
+}
+
+/** Counts the bytes of connections, headers included. */
+export class ByteCounter {
+  private readonly _open = new Set<Socket>()
+  private _closedIn = 0
+  private _closedOut = 0
+
+  /**
+   * Counts a connection until it closes.
+   *
+   * @param socket - Open connection.
+   */
+  track (socket: Socket): void {
+    this._open.add(socket)
+    socket.once('close', () => this._retire(socket))
+  }
+
+  /**
+   * @returns Bytes over all connections, closed ones included.
+   */
+  counts (): ByteCounts {
+    const open = [...this._open]
+    return {
+      bytesIn: open.reduce((sum, socket) => sum + socket.bytesRead, this._closedIn),
+      bytesOut: open.reduce((sum, socket) => sum + socket.bytesWritten, this._closedOut)
+    }
+  }
+
+  private _retire (socket: Socket): void {
+    this._open.delete(socket)
+    this._closedIn += socket.bytesRead
+    this._closedOut += socket.bytesWritten
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/peers/JaymillPeerServer.ts
@@ -0,0 +1,106 @@
+import { once } from 'node:events'
+import http from 'node:http'
+import https from 'node:https'
+import type { AddressInfo, Socket } from 'node:net'
+import { ErrorKind, RequestError, toProblem } from '@jaymill/core'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { ByteCounter, ByteCounts } from './JaymillByteCounter.js'
+import {
+  FORWARD_PATH, HEADERS_TIMEOUT_MS, KEEP_ALIVE_MS, MAX_HEADER_BYTES, MAX_QUESTION_BYTES, QUESTION_TIMEOUT_MS, TRPC_PATH
+} from './JaymillPeerConstants.js'
+import type { PeerTls } from './JaymillPeerTls.js'
+import { hasPeerToken } from './JaymillPeerToken.js'
+import { createPeerRouter, PeerHandlers } from './routers/JaymillPeerRouter.js'
+
+/** Serves a streamed request that another host forwards; the path still begins with `/forward/`. */
+export type ForwardHandler = (req: http.IncomingMessage, res: http.ServerResponse) => void
+
+/** Where to listen. */
+export interface ListenAddress {
+  /** IP number. */
+  readonly host: string
+  /** Port; 0 lets the system choose. */
+  readonly port: number
+}
+
+/** What a peer server needs. */
+export interface PeerServerOptions {
+  readonly listen: ListenAddress
+  /** Token that every peer must present. */
+  readonly token: string
+  /** Turns on mutual TLS. */
+  readonly tls?: PeerTls
+  readonly handlers: PeerHandlers
+  readonly forward: ForwardHandler
+}
+
+/** Listener for other hosts. */
+export interface PeerServer {
+  /** Base URL with the port in use. */
+  readonly url: string
+  /**
+   * @returns Bytes over all connections so far.
+   */
+  byteCounts (): ByteCounts
+}
+
+/**
+ * Starts the listener for other hosts: typed calls under `/trpc/`, streamed requests under `/forward/`.
+ *
+ * @param options - Address, credentials and behaviour.
+ * @param signal - Closes the listener and all its connections.
+ * @returns The listening server.
+ */
+export async function createPeerServer (options: PeerServerOptions, signal: AbortSignal): Promise<PeerServer> {
+  const server = createListener(options)
+  const counter = new ByteCounter()
+  server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => counter.track(socket))
+  server.on('request', createDispatcher(options))
+  server.listen(options.listen.port, options.listen.host)
+  await once(server, 'listening', { signal })
+  signal.addEventListener('abort', () => closeServer(server), { once: true })
+  const address = server.address() as AddressInfo
+  const scheme = options.tls === undefined ? 'http' : 'https'
+  return { url: `${scheme}://${urlHost(address)}:${address.port}`, byteCounts: () => counter.counts() }
+}
+
+function createListener ({ tls }: PeerServerOptions): http.Server {
+  const limits = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: 0,
+    keepAliveTimeout: KEEP_ALIVE_MS
+  }
+  if (tls === undefined) return http.createServer(limits)
+  return https.createServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true })
+}
+
+function createDispatcher ({ handlers, forward, token }: PeerServerOptions): http.RequestListener {
+  const answerCall = createHTTPHandler({
+    router: createPeerRouter(handlers),
+    basePath: TRPC_PATH,
+    maxBodySize: MAX_QUESTION_BYTES
+  })
+  return (req, res) => {
+    if (!hasPeerToken(req.headers.authorization, token)) return refuse(res, ErrorKind.Unauthorized, 'peer token is wrong')
+    if (req.url?.startsWith(FORWARD_PATH) === true) return forward(req, res)
+    if (req.url?.startsWith(TRPC_PATH) !== true) return refuse(res, ErrorKind.NotFound, 'no such path')
+    req.setTimeout(QUESTION_TIMEOUT_MS, () => req.complete || req.destroy())
+    answerCall(req, res)
+  }
+}
+
+function refuse (res: http.ServerResponse, kind: ErrorKind, message: string): void {
+  const problem = toProblem(new RequestError(kind, message))
+  res.writeHead(problem.status, { 'content-type': 'application/problem+json', connection: 'close' })
+  res.end(JSON.stringify(problem))
+}
+
+function closeServer (server: http.Server): void {
+  server.close()
+  server.closeAllConnections()
+}
+
+function urlHost ({ address, family }: AddressInfo): string {
+  return family === 'IPv6' ? `[${address}]` : address
+}
--- /dev/null
+++ b/packages/adapters/src/peers/JaymillPeerToken.ts
@@ -0,0 +1,17 @@
+import { createHash, timingSafeEqual } from 'node:crypto'
+
+const BEARER = /^Bearer (.+)$/
+
+const digestOf = (text: string): Buffer => createHash('sha256').update(text).digest()
+
+/**
+ * Compares a bearer token in constant time.
+ *
+ * @param header - Value of the `authorization` header.
+ * @param token - Expected token; an empty one never matches.
+ * @returns Whether the request carries the token.
+ */
+export function hasPeerToken (header: string | undefined, token: string): boolean {
+  const given = BEARER.exec(header ?? '')?.[1] ?? ''
+  return timingSafeEqual(digestOf(given), digestOf(token)) && token !== ''
+}
--- a/packages/core/src/errors/JaymillRequestError.ts
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -88,9 +88,9 @@
  * @returns The failure, or `undefined` when the value is not one of the project's documents.
  */
 export function fromProblem (doc: unknown): RequestError | undefined {
-  const candidate = doc as Partial<ProblemDocument> | null
+  const candidate = doc as Partial<ProblemDocument> | null | undefined
   const kind = Object.values(ErrorKind).find(value => candidate?.type === `urn:jaymill:error:${value}`)
-  if (candidate === null || kind === undefined) return undefined
+  if (candidate === null || candidate === undefined || kind === undefined) return undefined
   const ran = Object.values(RanState).find(value => value === candidate.ran) ?? RanState.Unknown
   return new RequestError(kind, candidate.detail ?? kind, { ran, retryAfterMs: candidate.retryAfterMs })
 }
