Look fleet entries up by index

Change: FleetIndex, built once per configuration, and its use in the daemon. Conclusion: one place for look-ups.

--- /dev/null
+++ b/packages/core/src/fleet/JaymillFleetIndex.ts
@@ -0,0 +1,133 @@
+import { ErrorKind } from '../errors/JaymillError.js'
+import { RequestError } from '../errors/JaymillRequestError.js'
+import type {
+  AccountConfig, EndpointConfig, FleetConfig, ModelConfig, PoolConfig, RouteConfig, ServiceConfig
+} from './JaymillFleetConfig.js'
+
+/** A path of a service with its route. */
+export interface ServiceMatch {
+  readonly service: ServiceConfig
+  readonly route: RouteConfig
+}
+
+function byId<Item extends { readonly id: string }> (items: readonly Item[]): Map<string, Item> {
+  return new Map(items.map(item => [item.id, item]))
+}
+
+function isUnder (path: string, prefix: string): boolean {
+  return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
+}
+
+/** Look-ups in one fleet configuration, built once per revision. */
+export class FleetIndex {
+  private readonly _fleet: FleetConfig
+  private readonly _pools: Map<string, PoolConfig>
+  private readonly _poolOfEndpoint: Map<string, PoolConfig>
+  private readonly _endpoints: Map<string, EndpointConfig>
+  private readonly _routes: Map<string, RouteConfig>
+  private readonly _models: Map<string, ModelConfig>
+  private readonly _accounts: Map<string, AccountConfig>
+
+  /**
+   * @param fleet - Configuration.
+   */
+  constructor (fleet: FleetConfig) {
+    this._fleet = fleet
+    this._pools = byId(fleet.pools)
+    this._endpoints = byId(fleet.pools.flatMap(({ endpoints }) => endpoints))
+    this._poolOfEndpoint = new Map(fleet.pools.flatMap(pool => pool.endpoints.map(({ id }) => [id, pool])))
+    this._routes = byId(fleet.routes)
+    this._models = new Map(fleet.models.flatMap(model => [model.id, ...model.adapters].map(name => [name, model])))
+    this._accounts = new Map(fleet.accounts.map(account => [account.keySha256.toLowerCase(), account]))
+  }
+
+  /**
+   * @param id - Id of a pool.
+   * @returns The pool.
+   * @throws RequestError of kind `NoEndpoint`.
+   */
+  pool (id: string): PoolConfig {
+    return found(this._pools.get(id), ErrorKind.NoEndpoint, `pool ${id} is not configured`)
+  }
+
+  /**
+   * @param id - Id of an endpoint.
+   * @returns The endpoint.
+   * @throws RequestError of kind `NoEndpoint`.
+   */
+  endpoint (id: string): EndpointConfig {
+    return found(this._endpoints.get(id), ErrorKind.NoEndpoint, `endpoint ${id} is not configured`)
+  }
+
+  /**
+   * @param id - Id of an endpoint.
+   * @returns The pool that holds it.
+   * @throws RequestError of kind `NoEndpoint`.
+   */
+  poolOfEndpoint (id: string): PoolConfig {
+    return found(this._poolOfEndpoint.get(id), ErrorKind.NoEndpoint, `endpoint ${id} is not configured`)
+  }
+
+  /**
+   * @param id - Id of a route.
+   * @returns The route.
+   * @throws RequestError of kind `NotFound`.
+   */
+  route (id: string): RouteConfig {
+    return found(this._routes.get(id), ErrorKind.NotFound, `route ${id} is not configured`)
+  }
+
+  /**
+   * @param name - Name of a model or of one of its adapters.
+   * @returns The model.
+   * @throws RequestError of kind `NotFound`.
+   */
+  model (name: string): ModelConfig {
+    return found(this._models.get(name), ErrorKind.NotFound, `model ${name} is not configured`)
+  }
+
+  /**
+   * @param keySha256 - SHA-256 of an API key, in lower-case hexadecimal.
+   * @returns The account.
+   * @throws RequestError of kind `Unauthorized`.
+   */
+  account (keySha256: string): AccountConfig {
+    return found(this._accounts.get(keySha256), ErrorKind.Unauthorized, 'the API key is missing or unknown')
+  }
+
+  /**
+   * Finds the service of a path; the longest configured prefix wins.
+   *
+   * @param method - HTTP method.
+   * @param path - Path without query.
+   * @returns The service and its route.
+   * @throws RequestError of kind `NotFound`.
+   */
+  service (method: string, path: string): ServiceMatch {
+    const match = this._fleet.services
+      .flatMap(service => service.paths.map(entry => ({ service, entry })))
+      .filter(({ entry }) => entry.method === method && isUnder(path, entry.path))
+      .sort((a, b) => b.entry.path.length - a.entry.path.length)[0]
+    const { service, entry } = found(match, ErrorKind.NotFound, `no service takes ${method} ${path}`)
+    return { service, route: this.route(entry.route) }
+  }
+}
+
+function found<Value> (value: Value | undefined, kind: ErrorKind, message: string): Value {
+  if (value === undefined) throw new RequestError(kind, message)
+  return value
+}
+
+const indexes = new WeakMap<FleetConfig, FleetIndex>()
+
+/**
+ * Gives the look-ups of a configuration, building them at the first call.
+ *
+ * @param fleet - Configuration; it must not change.
+ * @returns The look-ups.
+ */
+export function fleetIndex (fleet: FleetConfig): FleetIndex {
+  const index = indexes.get(fleet) ?? new FleetIndex(fleet)
+  indexes.set(fleet, index)
+  return index
+}
--- a/packages/daemon/src/callers/JaymillCallerRequest.ts
+++ b/packages/daemon/src/callers/JaymillCallerRequest.ts
@@ -1,6 +1,6 @@
-import { createHash, timingSafeEqual } from 'node:crypto'
+import { createHash } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
-import { AccountConfig, ErrorKind, RequestError } from '@jaymill/core'
+import { AccountConfig, ErrorKind, FleetIndex, RequestError } from '@jaymill/core'
 
 const REQUEST_ID = /^[\w.:-]{1,128}$/
 const KEY = /^[\x21-\x7e]{1,255}$/
@@ -57,19 +57,12 @@
  * Finds the account that a request belongs to.
  *
  * @param req - Request of a caller.
- * @param accounts - Accounts in force.
+ * @param fleet - Look-ups in the configuration in force.
  * @returns The account.
  * @throws RequestError of kind `Unauthorized`.
  */
-export function authenticate (req: IncomingMessage, accounts: readonly AccountConfig[]): AccountConfig {
+export function authenticate (req: IncomingMessage, fleet: FleetIndex): AccountConfig {
   const token = /^Bearer (.+)$/.exec(headerOf(req, 'authorization') ?? '')?.[1]
-  const hash = createHash('sha256').update(token ?? '').digest()
-  const account = accounts.find(({ keySha256 }) => {
-    const known = Buffer.from(keySha256, 'hex')
-    return known.length === hash.length && timingSafeEqual(known, hash)
-  })
-  if (token === undefined || account === undefined) {
-    throw new RequestError(ErrorKind.Unauthorized, 'the API key is missing or unknown')
-  }
-  return account
+  if (token === undefined) throw new RequestError(ErrorKind.Unauthorized, 'the API key is missing')
+  return fleet.account(createHash('sha256').update(token).digest('hex'))
 }
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { randomUUID } from 'node:crypto'
-import { ErrorKind, RequestError } from '@jaymill/core'
+import { ErrorKind, fleetIndex, RequestError } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { callerSignal, CallerExchange } from './JaymillCallerExchange.js'
 import { authenticate, readCallerHeaders } from './JaymillCallerRequest.js'
@@ -75,7 +75,7 @@
       if (this._ctx.draining()) {
         throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { retryAfterMs: DRAIN_RETRY_AFTER_MS })
       }
-      const account = authenticate(req, this._ctx.fleet().accounts)
+      const account = authenticate(req, fleetIndex(this._ctx.fleet()))
       await this._dispatch({ req, res, headers, account, signal: callerSignal(res) })
     } catch (err) {
       this._ctx.log.warn('request refused or failed', { requestId, err })
@@ -91,6 +91,6 @@
     const method = exchange.req.method ?? 'GET'
     const form = COMPLETION_FORMS[path]
     if (form !== undefined && method === 'POST') await this._completions.handle(exchange, form)
-    else await this._services.handle(exchange, this._services.match(method, path))
+    else await this._services.handle(exchange, fleetIndex(this._ctx.fleet()).service(method, path))
   }
 }
--- a/packages/daemon/src/callers/JaymillCompletionRoute.ts
+++ b/packages/daemon/src/callers/JaymillCompletionRoute.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, ModelConfig, RequestError, RequestRecord, RouteClass, RouteConfig } from '@jaymill/core'
+import { ErrorKind, fleetIndex, ModelConfig, RequestError, RequestRecord, RouteClass, RouteConfig } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { CompletionJob } from '../requests/JaymillCompletionJob.js'
 import { CompletionRunner } from '../requests/JaymillCompletionRunner.js'
@@ -40,7 +40,7 @@
   async handle (exchange: CallerExchange, form: CompletionForm): Promise<void> {
     const raw = await readBody(exchange.req, this._ctx.settings.limits.bodyBytes)
     const body = parseCompletionBody(form, parseJson(raw))
-    const model = this._model(body.model)
+    const model = fleetIndex(this._ctx.fleet()).model(body.model)
     const route = this._route(model, exchange.headers.routeId)
     const record = this._ctx.requests.open({
       requestId: exchange.headers.requestId,
@@ -92,18 +92,9 @@
     }
   }
 
-  private _model (name: string): ModelConfig {
-    const model = this._ctx.fleet().models.find(({ id, adapters }) => id === name || adapters.includes(name))
-    if (model === undefined) throw new RequestError(ErrorKind.NotFound, `model ${name} is not configured`)
-    return model
-  }
-
   private _route (model: ModelConfig, wanted: string | undefined): RouteConfig {
-    const id = wanted ?? model.route
-    const route = this._ctx.fleet().routes.find(candidate => candidate.id === id)
-    if (route === undefined || !MODEL_CLASSES.includes(route.class)) {
-      throw new RequestError(ErrorKind.BadRequest, `route ${id} does not serve models`)
-    }
+    const route = fleetIndex(this._ctx.fleet()).route(wanted ?? model.route)
+    if (!MODEL_CLASSES.includes(route.class)) throw new RequestError(ErrorKind.BadRequest, `route ${route.id} does not serve models`)
     return route
   }
 }
--- a/packages/daemon/src/callers/JaymillServiceRoute.ts
+++ b/packages/daemon/src/callers/JaymillServiceRoute.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
-  Booking, BookingStage, ErrorKind, RequestError, RequestEvent, RequestRecord, RouteClass, RouteConfig, ServiceConfig
+  Booking, BookingStage, fleetIndex, RequestEvent, RequestRecord, RouteClass, ServiceMatch
 } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { endRecord } from '../requests/JaymillRecordEnd.js'
@@ -13,12 +13,6 @@
   'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'x-deadline-ms', 'x-jaymill-route'
 ]
 
-/** A service's path that a request matches. */
-export interface ServiceMatch {
-  readonly service: ServiceConfig
-  readonly route: RouteConfig
-}
-
 /** Serves plain services. */
 export class ServiceRoute {
   private readonly _ctx: HostContext
@@ -30,25 +24,6 @@
     this._ctx = ctx
   }
 
-  /**
-   * Finds the service of a path; the longest configured prefix wins.
-   *
-   * @param method - HTTP method.
-   * @param path - Path without query.
-   * @returns The match.
-   * @throws RequestError of kind `NotFound`.
-   */
-  match (method: string, path: string): ServiceMatch {
-    const { services, routes } = this._ctx.fleet()
-    const found = services
-      .flatMap(service => service.paths.map(entry => ({ service, entry })))
-      .filter(({ entry }) => entry.method === method && isUnder(path, entry.path))
-      .sort((a, b) => b.entry.path.length - a.entry.path.length)[0]
-    const route = routes.find(({ id }) => id === found?.entry.route)
-    if (found === undefined || route === undefined) throw new RequestError(ErrorKind.NotFound, `no service takes ${method} ${path}`)
-    return { service: found.service, route }
-  }
-
   /**
    * Serves one request.
    *
@@ -74,7 +49,7 @@
     const booking = await this._book(exchange, match, signal)
     record.decide(RequestEvent.Execute, `owner ${booking.ownerId}`, this._ctx.clock.nowMs(), booking.endpointId)
     try {
-      await this._send(exchange, match, booking, record, signal)
+      await this._send(exchange, booking, record, signal)
     } finally {
       this._ctx.booker.release(booking)
       owner.abort()
@@ -98,12 +73,10 @@
   }
 
   private async _send (
-    exchange: CallerExchange, { service }: ServiceMatch, booking: Booking, record: RequestRecord, signal: AbortSignal
+    exchange: CallerExchange, booking: Booking, record: RequestRecord, signal: AbortSignal
   ): Promise<void> {
     const { req, res, headers } = exchange
-    const pool = this._ctx.fleet().pools.find(({ id }) => id === service.pool)
-    const endpoint = pool?.endpoints.find(({ id }) => id === booking.endpointId)
-    if (endpoint === undefined) throw new RequestError(ErrorKind.NoEndpoint, `endpoint ${booking.endpointId} is no longer configured`)
+    const endpoint = fleetIndex(this._ctx.fleet()).endpoint(booking.endpointId)
     const reply = await this._ctx.services.send({
       url: endpoint.url,
       method: req.method ?? 'GET',
@@ -123,10 +96,6 @@
   }
 }
 
-function isUnder (path: string, prefix: string): boolean {
-  return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
-}
-
 function hasBody (req: IncomingMessage): boolean {
   return req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
 }
--- a/packages/daemon/src/requests/JaymillCompletionRunner.ts
+++ b/packages/daemon/src/requests/JaymillCompletionRunner.ts
@@ -1,5 +1,5 @@
 import {
-  Booking, BookingRequest, BookingStage, EngineCall, ErrorKind, JaymillError, KvTransferParams, RanState, RequestError,
+  Booking, BookingRequest, BookingStage, EngineCall, ErrorKind, fleetIndex, JaymillError, KvTransferParams, RanState, RequestError,
   RequestEvent, RouteClass, TokenEvent
 } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
@@ -122,8 +122,7 @@
   }
 
   private _call (job: CompletionJob, progress: Progress, endpointId: string): EngineCall {
-    const endpoint = this._ctx.fleet().pools.flatMap(({ endpoints }) => endpoints).find(({ id }) => id === endpointId)
-    if (endpoint === undefined) throw new RequestError(ErrorKind.NoEndpoint, `endpoint ${endpointId} is no longer configured`)
+    const endpoint = fleetIndex(this._ctx.fleet()).endpoint(endpointId)
     return {
       tag: {
         requestId: job.requestId,
--- a/packages/daemon/src/routing/JaymillLocalSlotBooker.ts
+++ b/packages/daemon/src/routing/JaymillLocalSlotBooker.ts
@@ -1,5 +1,5 @@
 import {
-  Booking, BookingRequest, EndpointState, ErrorKind, FleetConfig, HostList, PoolConfig, RequestError, SlotBooker
+  Booking, BookingRequest, EndpointState, ErrorKind, fleetIndex, FleetConfig, HostList, PoolConfig, RequestError, SlotBooker
 } from '@jaymill/core'
 
 const TTL_MS = 5_000
@@ -26,8 +26,7 @@
 
   /** {@inheritDoc @jaymill/core#SlotBooker.book} */
   async book (req: BookingRequest): Promise<Booking> {
-    const pool = this._fleet().pools.find(({ id }) => id === req.poolId)
-    if (pool === undefined) throw new RequestError(ErrorKind.NoEndpoint, `pool ${req.poolId} is not configured`)
+    const pool = fleetIndex(this._fleet()).pool(req.poolId)
     const endpointId = this._leastUsed(pool, req)
     const id = `${this._hostId}/${++this._sequence}`
     this._usedOf(endpointId).add(id)
