Listen to and call the other hosts of the published list

Cause: heartbeats, leases, bookings and forwarded requests need one place for connections between hosts. Change: PeerNetwork opens the peer listener and one client per listed host and replaces a client when its address changes; calls whose room is not connected yet are refused with a typed error, never answered. Conclusion: rooms put their handlers in one by one.

--- a/packages/bench/src/demo/JaymillDemoFleet.ts
+++ b/packages/bench/src/demo/JaymillDemoFleet.ts
@@ -46,7 +46,7 @@
     this.hosts.push(...await Promise.all(create(HOSTS, index => this._startHost(index, logLevel))))
     signal.addEventListener('abort', () => this.hosts.forEach(({ daemon }) => daemon.kill()), { once: true })
     this.platform.publish('jaymill/hosts', demoHosts(1, this.hosts.map(({ id, urls }, index) => (
-      { id, zone: zoneOf(index), peerUrl: urls.admin }
+      { id, zone: zoneOf(index), peerUrl: urls.peer }
     ))))
     await Promise.all(this.hosts.map(({ urls }) => until('host ready', async () => (await fetch(`${urls.admin}/readyz`)).ok)))
   }
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -1,13 +1,18 @@
 import { ErrorKind, HostIdentity, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
-import { HttpServiceClient, UndiciEngineClient } from '@jaymill/adapters'
+import { HttpServiceClient, PeerHandlers, UndiciEngineClient } from '@jaymill/adapters'
 import { HostSettings, readSecret } from '@jaymill/settings'
 import type { Logger } from 'winston'
 import { AdminServer } from './admin/JaymillAdminServer.js'
 import { CallerServer } from './callers/JaymillCallerServer.js'
+import { sendProblem } from './callers/JaymillProblemReply.js'
 import { PublishedDocuments } from './config/JaymillPublishedDocuments.js'
 import { ThinPlatformReader } from './config/JaymillThinPlatformReader.js'
 import type { HostContext } from './JaymillHostContext.js'
 import { createHostLogger } from './logging/JaymillLogger.js'
+import { PeerNetwork } from './peers/JaymillPeerNetwork.js'
+import {
+  RefusingBookingHandler, RefusingConfigHandler, RefusingHeartbeatHandler, RefusingLeaseHandler
+} from './peers/JaymillRefusingPeerHandlers.js'
 import { SystemClock } from './ports/JaymillSystemClock.js'
 import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
 import { SystemRandom } from './ports/JaymillSystemRandom.js'
@@ -19,6 +24,7 @@
 export interface DaemonUrls {
   readonly caller: string
   readonly admin: string
+  readonly peer: string
 }
 
 /** One host of the system: listeners, published documents and what serves requests. */
@@ -40,6 +46,8 @@
     const clock = new SystemClock()
     const identity: HostIdentity = { ...settings.host, incarnation: settings.host.incarnation ?? clock.wallMs() }
     const { _documents: documents } = this
+    const secrets = new SystemSecretReader()
+    const peerToken = readSecret(settings.credentials.peerToken, 'credentials.peerToken', secrets)
     this._ctx = {
       settings,
       identity,
@@ -50,13 +58,14 @@
       engines: new UndiciEngineClient({ signal: this._owner.signal }),
       services: new HttpServiceClient({ signal: this._owner.signal }),
       booker: new LocalSlotBooker(() => documents.fleet(), () => documents.hosts(), identity.id),
+      peers: new PeerNetwork(settings, peerToken, () => documents.hosts(), this._owner.signal),
       fleet: () => documents.fleet(),
       hosts: () => documents.hosts(),
       draining: () => this._draining
     }
     this._platform = new ThinPlatformReader(settings.platform)
     this._callers = new CallerServer(this._ctx)
-    this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', new SystemSecretReader()), {
+    this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', secrets), {
       drain: () => { this.stop().catch(err => this._ctx.log.error('drain failed', { err })) },
       ready: () => this._ready
     })
@@ -68,7 +77,11 @@
    * @returns Addresses.
    */
   async start (): Promise<DaemonUrls> {
-    const urls = { caller: await this._callers.listen(), admin: await this._admin.listen() }
+    const urls = {
+      caller: await this._callers.listen(),
+      admin: await this._admin.listen(),
+      peer: await this._ctx.peers.listen(this._peerHandlers(), (_req, res) => sendProblem(res, new RequestError(ErrorKind.NotFound, 'no such path')))
+    }
     this._documents.follow(this._platform, this._ctx.log, this._owner.signal).catch(err => this._reportFollowing(err))
     this._ctx.log.info('host started', { ...urls, incarnation: this._ctx.identity.incarnation })
     return urls
@@ -91,6 +104,15 @@
     this._admin.close()
   }
 
+  private _peerHandlers (): PeerHandlers {
+    return {
+      heartbeat: new RefusingHeartbeatHandler(),
+      lease: new RefusingLeaseHandler(),
+      booking: new RefusingBookingHandler(),
+      config: new RefusingConfigHandler()
+    }
+  }
+
   private get _ready (): boolean {
     return this._documents.ready && !this._draining
   }
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -4,6 +4,7 @@
 import type { HttpServiceClient } from '@jaymill/adapters'
 import type { HostSettings } from '@jaymill/settings'
 import type { Logger } from 'winston'
+import type { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 
 /** What the rooms of the daemon share. */
 export interface HostContext {
@@ -16,6 +17,7 @@
   readonly engines: EngineClient
   readonly services: HttpServiceClient
   readonly booker: SlotBooker
+  readonly peers: PeerNetwork
   /**
    * @returns The configuration in force.
    * @throws RequestError of kind `NotReady` before the first one.
--- /dev/null
+++ b/packages/daemon/src/peers/JaymillPeerNetwork.ts
@@ -0,0 +1,104 @@
+import { readFileSync } from 'node:fs'
+import { createPeerClient, createPeerServer, ForwardHandler, PeerClient, PeerHandlers, PeerServer, PeerTls } from '@jaymill/adapters'
+import { ErrorKind, HostEntry, HostList, invariant, RequestError } from '@jaymill/core'
+import type { HostSettings } from '@jaymill/settings'
+
+interface Connection {
+  readonly url: string
+  readonly client: PeerClient
+  readonly owner: AbortController
+}
+
+/** Listener for other hosts, and a client for each host in the published list. */
+export class PeerNetwork {
+  private readonly _settings: HostSettings
+  private readonly _token: string
+  private readonly _tls: PeerTls | undefined
+  private readonly _hosts: () => HostList
+  private readonly _signal: AbortSignal
+  private readonly _connections = new Map<string, Connection>()
+  private _server: PeerServer | undefined
+
+  /**
+   * @param settings - Settings of this host.
+   * @param token - Token that hosts show each other.
+   * @param hosts - Host list in force.
+   * @param signal - Closes the listener and all clients.
+   */
+  constructor (settings: HostSettings, token: string, hosts: () => HostList, signal: AbortSignal) {
+    this._settings = settings
+    this._token = token
+    this._tls = settings.tls === undefined ? undefined : readTls(settings.tls)
+    this._hosts = hosts
+    this._signal = signal
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param handlers - Behaviour behind the typed calls.
+   * @param forward - Serves requests that other hosts forward.
+   * @returns Base URL.
+   */
+  async listen (handlers: PeerHandlers, forward: ForwardHandler): Promise<string> {
+    const { address: host, port } = this._settings.listen.peer
+    this._server = await createPeerServer(
+      { listen: { host, port }, token: this._token, ...this._tlsOption(), handlers, forward }, this._signal
+    )
+    return this._server.url
+  }
+
+  /** Bytes received and sent by the listener. */
+  get byteCounts (): ReturnType<PeerServer['byteCounts']> {
+    invariant(this._server, 'the peer listener is open')
+    return this._server.byteCounts()
+  }
+
+  /**
+   * @returns The other hosts of the list in force.
+   */
+  others (): HostEntry[] {
+    return this._hosts().hosts.filter(({ id }) => id !== this._settings.host.id)
+  }
+
+  /**
+   * Gets the client of a host; connections are kept until its address changes.
+   *
+   * @param hostId - Id of a host in the list.
+   * @returns The client.
+   * @throws RequestError of kind `PeerFailed` when the list does not hold the host.
+   */
+  client (hostId: string): PeerClient {
+    const entry = this._hosts().hosts.find(({ id }) => id === hostId)
+    if (entry === undefined) throw new RequestError(ErrorKind.PeerFailed, `host ${hostId} is not in the host list`)
+    return this.clientAt(hostId, entry.peerUrl)
+  }
+
+  /**
+   * Gets the client of a host at an address, such as one of an earlier list.
+   *
+   * @param hostId - Id of the host.
+   * @param url - Base URL of its peer listener.
+   * @returns The client.
+   */
+  clientAt (hostId: string, url: string): PeerClient {
+    const known = this._connections.get(hostId)
+    if (known?.url === url) return known.client
+    known?.owner.abort()
+    const owner = new AbortController()
+    const client = createPeerClient(
+      { url, token: this._token, ...this._tlsOption() }, AbortSignal.any([owner.signal, this._signal])
+    )
+    this._connections.set(hostId, { url, client, owner })
+    return client
+  }
+
+  private _tlsOption (): { tls?: PeerTls } {
+    return this._tls === undefined ? {} : { tls: this._tls }
+  }
+}
+
+function readTls ({ keyPath, certPath, caPath }: NonNullable<HostSettings['tls']>): PeerTls {
+  const read = (path: string): string => readFileSync(path, 'utf8')
+  return { key: read(keyPath), cert: read(certPath), ca: read(caPath ?? certPath) }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/JaymillRefusingPeerHandlers.ts
@@ -0,0 +1,48 @@
+import {
+  Booking, BookingHandler, ErrorKind, Heartbeat, HeartbeatHandler, HighWaterAnswer, ConfigHandler, LeaseAnswer,
+  LeaseHandler, PublishedDocument, RequestError
+} from '@jaymill/core'
+
+function refuse (): never {
+  throw new RequestError(ErrorKind.NotReady, 'this host does not take such calls')
+}
+
+/** Refuses bookings of other hosts. */
+export class RefusingBookingHandler extends BookingHandler {
+  /** {@inheritDoc @jaymill/core#BookingHandler.book} */
+  async book (): Promise<Booking> {
+    return refuse()
+  }
+
+  /** {@inheritDoc @jaymill/core#BookingHandler.release} */
+  async release (): Promise<void> {}
+}
+
+/** Refuses questions about published documents. */
+export class RefusingConfigHandler extends ConfigHandler {
+  /** {@inheritDoc @jaymill/core#ConfigHandler.highWater} */
+  async highWater (): Promise<HighWaterAnswer> {
+    return refuse()
+  }
+
+  /** {@inheritDoc @jaymill/core#ConfigHandler.document} */
+  async document (): Promise<PublishedDocument | null> {
+    return refuse()
+  }
+}
+
+/** Refuses heartbeats. */
+export class RefusingHeartbeatHandler extends HeartbeatHandler {
+  /** {@inheritDoc @jaymill/core#HeartbeatHandler.heartbeat} */
+  async heartbeat (): Promise<Heartbeat> {
+    return refuse()
+  }
+}
+
+/** Confirms no lease. */
+export class RefusingLeaseHandler extends LeaseHandler {
+  /** {@inheritDoc @jaymill/core#LeaseHandler.confirmLease} */
+  async confirmLease (): Promise<LeaseAnswer> {
+    return refuse()
+  }
+}
