Document the engine protocol and let the planner leave budgets to its caller

The planner spent retry budget also for steps that cost none. It now only decides; the caller spends when a move really follows. The engine client gets abandon, a cancel in the background that is tried again.

--- a/packages/adapters/src/endpoints/JaymillUndiciEngineClient.ts
+++ b/packages/adapters/src/endpoints/JaymillUndiciEngineClient.ts
@@ -1,6 +1,6 @@
 import {
   CacheEventPage, EngineCall, EngineClient, ErrorKind, KvTransferParams, LoadReport, PrefillResult, RanState,
-  RequestError, StreamPace, TokenEvent
+  RequestError, RequestOwnerTag, StreamPace, TokenEvent
 } from '@jaymill/core'
 import { Dispatcher } from 'undici'
 import {
@@ -69,7 +69,7 @@
       return { kv: answer.kv_transfer_params, promptTokens: answer.usage.prompt_tokens }
     } catch (err) {
       const failure = exchange.toError(err, both, call.endpointId)
-      if (failure.ran !== RanState.No) this._canceller.cancel(call.url, call.tag)
+      if (failure.ran !== RanState.No) this.abandon(call.url, call.tag)
       if (failure.kind === ErrorKind.Stalled) this._pools.retire(call.url, pool)
       throw failure
     } finally {
@@ -108,6 +108,11 @@
     await this._fresh(url, { method: 'DELETE', path, headers }, this._controlMs, signal, [404])
   }
 
+  /** {@inheritDoc EngineClient.abandon} */
+  abandon (url: string, tag: RequestOwnerTag): void {
+    this._canceller.cancel(url, tag)
+  }
+
   /** {@inheritDoc EngineClient.load} */
   load (url: string, signal: AbortSignal): Promise<LoadReport> {
     return this._get(url, '/load', LoadAnswer, signal)
@@ -157,7 +162,7 @@
       throw failure
     } finally {
       timer.stop()
-      if (!settled) this._canceller.cancel(call.url, call.tag)
+      if (!settled) this.abandon(call.url, call.tag)
       ctl.abort()
     }
   }
--- a/packages/core/src/ports/JaymillEngineClient.ts
+++ b/packages/core/src/ports/JaymillEngineClient.ts
@@ -149,6 +149,14 @@
    */
   abstract cancel (url: string, requestId: string, signal: AbortSignal, upToAttempt?: number): Promise<void>
 
+  /**
+   * Cancels an attempt in the background, trying again until the endpoint has answered.
+   *
+   * @param url - Base URL of the endpoint.
+   * @param tag - Request and attempt.
+   */
+  abstract abandon (url: string, tag: RequestOwnerTag): void
+
   /**
    * Reads the load report.
    *
--- a/packages/core/src/streams/JaymillRecoveryMachine.ts
+++ b/packages/core/src/streams/JaymillRecoveryMachine.ts
@@ -38,11 +38,9 @@
   readonly ran: RanState
 }
 
-/** One event with its facts. */
+/** One event. */
 export interface RecoveryFact {
   readonly type: RecoveryEvent
-  /** Whether the retry budget grants a move. */
-  readonly budget?: boolean
 }
 
 const mayMove = { guard: 'mayMove', target: RecoveryState.Moving, actions: 'countMove' } as const
@@ -52,7 +50,7 @@
 export const recoveryMachine = setup({
   types: { context: {} as RecoveryContext, events: {} as RecoveryFact },
   guards: {
-    mayMove: ({ context, event }) => event.budget === true && context.moves < MAX_MOVES,
+    mayMove: ({ context }) => context.moves < MAX_MOVES,
     mayResume: ({ context }) => context.resumes < MAX_RESUMES
   },
   actions: {
--- a/packages/core/src/streams/JaymillRecoveryPlanner.ts
+++ b/packages/core/src/streams/JaymillRecoveryPlanner.ts
@@ -27,18 +27,16 @@
 export abstract class RecoveryPlanner {
   /**
    * @param err - Failure of the stream.
-   * @param budget - Whether the retry budget grants one more attempt.
    * @param resumable - Whether the endpoint may still run the request; false during prefill.
    * @returns What to do.
    */
-  abstract failed (err: JaymillError, budget: boolean, resumable: boolean): RecoveryStep
+  abstract failed (err: JaymillError, resumable: boolean): RecoveryStep
 
   /**
    * @param alive - Whether the endpoint answered a probe on a new connection.
-   * @param budget - Whether the retry budget grants one more attempt.
    * @returns What to do.
    */
-  abstract probed (alive: boolean, budget: boolean): RecoveryStep
+  abstract probed (alive: boolean): RecoveryStep
 
   /** Notes that the resumed or moved attempt begins. */
   abstract started (): void
@@ -59,17 +57,17 @@
   private _noted = false
 
   /** {@inheritDoc RecoveryPlanner.failed} */
-  failed (err: JaymillError, budget: boolean, resumable: boolean): RecoveryStep {
+  failed (err: JaymillError, resumable: boolean): RecoveryStep {
     const type = RECOVERABLE.get(err.kind)
     this._noted = false
     if (type === undefined) return RecoveryStep.GiveUp
     const lost = type === RecoveryEvent.Broken && !resumable
-    return this._send({ type: lost ? RecoveryEvent.Lost : type, budget })
+    return this._send({ type: lost ? RecoveryEvent.Lost : type })
   }
 
   /** {@inheritDoc RecoveryPlanner.probed} */
-  probed (alive: boolean, budget: boolean): RecoveryStep {
-    return this._send({ type: alive ? RecoveryEvent.Alive : RecoveryEvent.Dead, budget })
+  probed (alive: boolean): RecoveryStep {
+    return this._send({ type: alive ? RecoveryEvent.Alive : RecoveryEvent.Dead })
   }
 
   /** {@inheritDoc RecoveryPlanner.started} */
