Read the platform from files and by blocking queries

Cause: hosts learn the fleet and the host list only by reading what is published, from a service with a shared read rate that may be down, stale or hang for long.

Change: a file adapter (change signal and interval) and a blocking-query adapter after Consul's published rules: index and wait, index going back, time limit with the service's own jitter, size bounds, growing pauses with jitter, and a read budget whose share per host shrinks with the host list.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,2 +1,3 @@
 export * from './endpoints/index.js'
 export * from './peers/index.js'
+export * from './platform/index.js'
--- /dev/null
+++ b/packages/adapters/src/platform/index.ts
@@ -0,0 +1,6 @@
+export * from './JaymillConsulPlatformReader.js'
+export * from './JaymillFilePlatformReader.js'
+export * from './JaymillPlatformError.js'
+export * from './JaymillPlatformFactory.js'
+export * from './JaymillReadBudget.js'
+export * from './JaymillSleeper.js'
