--- a/packages/bench/src/demo/JaymillDemoFleet.ts
+++ b/packages/bench/src/demo/JaymillDemoFleet.ts
@@ -9,10 +9,19 @@
 /** Admin token of the demo's hosts. */
 export const DEMO_ADMIN_TOKEN = 'demo-admin'
 
-const HOSTS = 3
-const PREFILL_ENGINES = 2
-const DECODE_ENGINES = 3
-const SERVICES = 2
+/** Sizes of a demo fleet. */
+export interface DemoFleetOptions {
+  readonly hosts: number
+  readonly prefill: number
+  readonly decode: number
+  readonly services: number
+  /** Least severe level that hosts log. */
+  readonly logLevel: string
+  /** Members of the hosts' `limits` settings that differ from the defaults. */
+  readonly limits: Readonly<Record<string, number>>
+}
+
+const DEFAULTS: DemoFleetOptions = { hosts: 3, prefill: 2, decode: 3, services: 2, logLevel: 'error', limits: {} }
 
 /** A running host of the demo. */
 export interface DemoHost {
@@ -28,22 +37,32 @@
 /** Platform, endpoints and hosts of the demo, all in one process on loopback. */
 export class DemoFleet {
   readonly platform = new PlatformStandIn()
-  readonly prefill = create(PREFILL_ENGINES, () => new EngineStandIn())
-  readonly decode = create(DECODE_ENGINES, () => new EngineStandIn())
-  readonly services = create(SERVICES, () => new ServiceStandIn())
+  readonly prefill: readonly EngineStandIn[]
+  readonly decode: readonly EngineStandIn[]
+  readonly services: readonly ServiceStandIn[]
   readonly hosts: DemoHost[] = []
+  private readonly _opts: DemoFleetOptions
+
+  /**
+   * @param opts - Sizes that differ from the defaults.
+   */
+  constructor (opts: Partial<DemoFleetOptions> = {}) {
+    this._opts = { ...DEFAULTS, ...opts }
+    this.prefill = create(this._opts.prefill, () => new EngineStandIn())
+    this.decode = create(this._opts.decode, () => new EngineStandIn())
+    this.services = create(this._opts.services, () => new ServiceStandIn())
+  }
 
   /**
    * Starts everything and waits until every host is ready.
    *
-   * @param logLevel - Least severe level that hosts log.
    * @param signal - Ends the stand-ins and kills the hosts.
    */
-  async start (logLevel: string, signal: AbortSignal): Promise<void> {
+  async start (signal: AbortSignal): Promise<void> {
     await Promise.all([this.platform, ...this.prefill, ...this.decode, ...this.services].map(standIn => standIn.start(signal)))
     const urls = { prefill: urlsOf(this.prefill), decode: urlsOf(this.decode), counter: urlsOf(this.services) }
     this.platform.publish('jaymill/fleet', demoFleet(1, urls))
-    this.hosts.push(...await Promise.all(create(HOSTS, index => this._startHost(index, logLevel))))
+    this.hosts.push(...await Promise.all(create(this._opts.hosts, index => this._startHost(index))))
     signal.addEventListener('abort', () => this.hosts.forEach(({ daemon }) => daemon.kill()), { once: true })
     this.platform.publish('jaymill/hosts', demoHosts(1, this.hosts.map(({ id, urls }, index) => (
       { id, zone: zoneOf(index), peerUrl: urls.peer }
@@ -51,10 +70,10 @@
     await Promise.all(this.hosts.map(({ urls }) => until('host ready', async () => (await fetch(`${urls.admin}/readyz`)).ok)))
   }
 
-  private async _startHost (index: number, logLevel: string): Promise<DemoHost> {
+  private async _startHost (index: number): Promise<DemoHost> {
     const id = `host-${index + 1}`
     const settings = parseHostSettings(JSON.stringify(this._settings(id, index)), id)
-    const daemon = new Daemon(settings, createHostLogger(logLevel, id))
+    const daemon = new Daemon(settings, createHostLogger(this._opts.logLevel, id))
     return { id, daemon, urls: await daemon.start() }
   }
 
@@ -64,6 +83,7 @@
       host: { id, zone: zoneOf(index), region: 'brittany' },
       listen: { caller: listener, peer: listener, admin: listener, metrics: listener },
       platform: { kind: 'http', url: this.platform.url },
+      limits: this._opts.limits,
       credentials: { peerToken: { value: 'demo-peer' }, adminToken: { value: DEMO_ADMIN_TOKEN } }
     }
   }
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -35,8 +35,8 @@
 
 async function main (opts: { keep?: boolean, 'log-level': string }): Promise<void> {
   const owner = new AbortController()
-  const fleet = new DemoFleet()
-  await fleet.start(opts['log-level'], owner.signal)
+  const fleet = new DemoFleet({ logLevel: opts['log-level'] })
+  await fleet.start(owner.signal)
   process.on('SIGTERM', () => {
     owner.abort()
     process.exit(0)
--- a/packages/daemon/src/callers/JaymillCallerExchange.ts
+++ b/packages/daemon/src/callers/JaymillCallerExchange.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { AccountConfig, ErrorKind, RanState, RequestError, RouteConfig } from '@jaymill/core'
 import type { CallerHeaders } from './JaymillCallerRequest.js'
@@ -37,6 +38,32 @@
   return controller.signal
 }
 
+/**
+ * Writes to the caller and waits while its connection is full.
+ *
+ * @param res - Response to the caller.
+ * @param chunk - Text or bytes.
+ * @param stallMs - Longest time for which the caller may read nothing, in milliseconds.
+ * @param signal - Gives up.
+ * @throws RequestError of kind `CallerGone` when the caller reads nothing for too long.
+ */
+export async function writeToCaller (
+  res: ServerResponse, chunk: string | Uint8Array, stallMs: number, signal: AbortSignal
+): Promise<void> {
+  if (res.write(chunk)) return
+  const stalled = new AbortController()
+  const timer = setTimeout(() => stalled.abort(), stallMs)
+  try {
+    await once(res, 'drain', { signal: AbortSignal.any([signal, stalled.signal]) })
+  } catch (err) {
+    signal.throwIfAborted()
+    res.destroy()
+    throw new RequestError(ErrorKind.CallerGone, `the caller has read nothing for ${stallMs} ms`, { ran: RanState.Unknown, cause: err })
+  } finally {
+    clearTimeout(timer)
+  }
+}
+
 /**
  * Joins the caller's signal with the deadline of the request.
  *
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -12,6 +12,8 @@
 
 const KEEP_ALIVE_PROBE_MS = 2_000
 const DRAIN_RETRY_AFTER_MS = 1_000
+const HEADERS_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 60_000
 
 /** Listener for callers. */
 export class CallerServer {
@@ -30,7 +32,13 @@
     this._completions = new CompletionRoute(ctx)
     this._services = new ServiceRoute(ctx)
     this._server = createServer(
-      { maxHeaderSize: ctx.settings.limits.headerBytes, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS },
+      {
+        maxHeaderSize: ctx.settings.limits.headerBytes,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS
+      },
       (req, res) => { this._serve(req, res).catch(err => ctx.log.error('request handler failed', { err })) }
     )
   }
--- a/packages/daemon/src/callers/JaymillCompletionReply.ts
+++ b/packages/daemon/src/callers/JaymillCompletionReply.ts
@@ -1,12 +1,14 @@
-import { once } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { ErrorKind, RanState, RequestError, TokenEvent } from '@jaymill/core'
+import { writeToCaller } from './JaymillCallerExchange.js'
 import { CompletionBody, CompletionForm } from './JaymillCompletionBody.js'
 
 /** Names that a reply repeats. */
 export interface CompletionReplyMeta {
   readonly requestId: string
   readonly created: number
+  /** Longest time for which the caller may read nothing, in milliseconds. */
+  readonly stallMs: number
 }
 
 function choiceOf (body: CompletionBody, event: TokenEvent): object {
@@ -21,11 +23,6 @@
   return { id: meta.requestId, object, created: meta.created, model: body.model, choices: [choice] }
 }
 
-async function write (res: ServerResponse, text: string, signal: AbortSignal): Promise<void> {
-  if (res.write(text)) return
-  await once(res, 'drain', { signal })
-}
-
 /**
  * Streams an answer as server-sent events whose ids are token positions.
  *
@@ -43,7 +40,8 @@
   }
   for await (const event of events) {
     begin()
-    await write(res, `id: ${event.id}\ndata: ${JSON.stringify(envelope(body, meta, choiceOf(body, event), true))}\n\n`, signal)
+    const chunk = JSON.stringify(envelope(body, meta, choiceOf(body, event), true))
+    await writeToCaller(res, `id: ${event.id}\ndata: ${chunk}\n\n`, meta.stallMs, signal)
   }
   begin()
   res.end('data: [DONE]\n\n')
--- a/packages/daemon/src/callers/JaymillCompletionRoute.ts
+++ b/packages/daemon/src/callers/JaymillCompletionRoute.ts
@@ -60,7 +60,7 @@
       const { signal } = withDeadline(exchange, route, owner.signal)
       const job = this._job(exchange, body, model, route, record)
       const events = this._counted(job, signal)
-      const meta = { requestId: job.requestId, created: Math.floor(this._ctx.clock.wallMs() / MS_PER_SECOND) }
+      const meta = { requestId: job.requestId, created: Math.floor(this._ctx.clock.wallMs() / MS_PER_SECOND), stallMs: this._ctx.settings.limits.callerStallMs }
       if (body.stream) await streamCompletion(exchange.res, body, meta, events, signal)
       else await sendCompletion(exchange.res, body, meta, events)
     } finally {
--- a/packages/daemon/src/callers/JaymillServiceRoute.ts
+++ b/packages/daemon/src/callers/JaymillServiceRoute.ts
@@ -1,11 +1,10 @@
-import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
   Booking, BookingStage, fleetIndex, RequestEvent, RequestRecord, RouteClass, ServiceMatch
 } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { endRecord } from '../requests/JaymillRecordEnd.js'
-import { CallerExchange, withDeadline } from './JaymillCallerExchange.js'
+import { CallerExchange, withDeadline, writeToCaller } from './JaymillCallerExchange.js'
 
 const PRIORITIES = Object.values(RouteClass)
 const DROPPED_HEADERS: readonly string[] = [
@@ -92,7 +91,7 @@
       }
     }, signal)
     record.noteTokens(this._ctx.clock.nowMs(), 0)
-    await pipeReply(res, reply, headers.requestId, signal)
+    await pipeReply(res, reply, headers.requestId, this._ctx.settings.limits.callerStallMs, signal)
   }
 }
 
@@ -112,13 +111,13 @@
   readonly body: AsyncIterable<Uint8Array>
 }
 
-async function pipeReply (res: ServerResponse, reply: ServiceReply, requestId: string, signal: AbortSignal): Promise<void> {
+async function pipeReply (res: ServerResponse, reply: ServiceReply, requestId: string, stallMs: number, signal: AbortSignal): Promise<void> {
   const headers = Object.entries(reply.headers).filter(([name]) => !DROPPED_HEADERS.includes(name) || name === 'content-length')
   headers.forEach(([name, value]) => value !== undefined && res.setHeader(name, value))
   res.setHeader('X-Request-Id', requestId)
   res.writeHead(reply.status)
   for await (const chunk of reply.body) {
-    if (!res.write(chunk)) await once(res, 'drain', { signal })
+    await writeToCaller(res, chunk, stallMs, signal)
   }
   res.end()
 }
--- a/packages/settings/src/JaymillHostSettings.ts
+++ b/packages/settings/src/JaymillHostSettings.ts
@@ -54,6 +54,8 @@
 const limits = z.strictObject({
   headerBytes: countField(1_024, Unit.Bytes, 'Largest request header.').default(DEFAULTS.headerBytes),
   bodyBytes: countField(1, Unit.Bytes, 'Largest request body that is held in memory.').default(DEFAULTS.bodyBytes),
+  callerStallMs: countField(10, Unit.Milliseconds, 'Time for which a caller may read nothing before it counts as gone.')
+    .default(DEFAULTS.callerStallMs),
   queueRequests: countField(1, Unit.Requests, 'Requests that wait for capacity.').default(DEFAULTS.queueRequests),
   queueBytes: countField(1, Unit.Bytes, 'Bodies of waiting requests together.').default(DEFAULTS.queueBytes),
   peerMessageBytes: countField(1_024, Unit.Bytes, 'Largest message between hosts.').default(DEFAULTS.peerMessageBytes),
--- a/packages/settings/src/constants.ts
+++ b/packages/settings/src/constants.ts
@@ -11,6 +11,7 @@
 export const HOST_DEFAULTS = {
   headerBytes: 16_384,
   bodyBytes: 4_194_304,
+  callerStallMs: 10_000,
   queueRequests: 512,
   queueBytes: 67_108_864,
   peerMessageBytes: 1_048_576,
