Decide capacity at the endpoint's owner and measure it against baselines

Cause: reports lag and every host chooses at once, so decode slots overrun at the crest and prefills are thrown away. Change: exact ledger of one endpoint's slots, KV pieces and link time at its owner (weighted rendezvous over the published list), with a deputy's small share while the owner is silent; decode reserved before prefill; orphans; admission queues by class, fair between accounts, with early refusal; account limits by leases. Baselines stand beside each. The policy bench runs these modules against small fakes on a manual clock.

--- /dev/null
+++ b/packages/bench/src/policy/JaymillFakeHost.ts
@@ -0,0 +1,188 @@
+import {
+  AdmissionItem, AdmissionQueue, BookingStage, BookingWalk, CountingRule, EndpointChooser, EndpointFacts, EndpointLedger,
+  EndpointOwners, Grant, GrantAnswer, GrantAsk, grantId, GrantRefusal, GrantRequest, GRANT_RENEW_MS, HostList, LinkLedger,
+  localShareSlots, OwnedEndpoint, OwnerBook, OWNER_WAIT_MS, Random, SilentOwners, SlotOwnership
+} from '@jaymill/core'
+import type { EventLoop } from './JaymillEventLoop.js'
+import type { FakeFleet } from './JaymillFakeFleet.js'
+import { BookingMode, Policy } from './JaymillPolicy.js'
+import type { WorkRequest } from './JaymillWorkload.js'
+
+/** What all hosts of a run share. */
+export interface HostSetup {
+  readonly loop: EventLoop
+  readonly fleet: FakeFleet
+  readonly policy: Policy
+  readonly random: Random
+  readonly hosts: Map<string, FakeHost>
+  /** Whether two hosts can talk. */
+  readonly reachable: (from: string, to: string) => boolean
+}
+
+/** Capacity on an endpoint; `release` may be called twice. */
+export interface HeldCapacity {
+  readonly endpointId: string
+  readonly release: () => void
+}
+
+/** A queued request. */
+export interface QueuedWork extends AdmissionItem {
+  readonly work: WorkRequest
+}
+
+const MAX_ASKS = 4
+
+/** One entry host: owner of some endpoints, booker for its own requests. */
+export class FakeHost {
+  readonly id: string
+  readonly zone: string
+  readonly book: OwnerBook
+  readonly queue = new AdmissionQueue<QueuedWork>()
+  alive = true
+  private readonly _setup: HostSetup
+  private readonly _silent = new SilentOwners()
+  private readonly _choosers: ReadonlyMap<BookingStage, EndpointChooser>
+  private readonly _used = new Map<string, number>()
+  private _shares = new Map<string, EndpointLedger>()
+  private _list: HostList
+  private _ownership: SlotOwnership
+
+  constructor (setup: HostSetup, id: string, list: HostList) {
+    this._setup = setup
+    this.id = id
+    this.zone = setup.fleet.zoneOfHost(id)
+    this.book = new OwnerBook(id, setup.policy.counting)
+    this._list = list
+    this._ownership = new SlotOwnership(setup.fleet.endpoints, list)
+    this._choosers = new Map(Object.values(BookingStage).map(stage => [stage, setup.policy.newChooser()]))
+    this.adopt(list)
+  }
+
+  /**
+   * @param list - Published list, when this host reads it.
+   */
+  adopt (list: HostList): void {
+    this._list = list
+    this._ownership = new SlotOwnership(this._setup.fleet.endpoints, list)
+    this.book.adopt(list, this._setup.fleet.endpoints, this._setup.loop.nowMs)
+    if (this._setup.policy.mode === BookingMode.LocalShare) this._shares = this._newShares()
+  }
+
+  /**
+   * @param req - What to book.
+   * @param onDone - Called with the capacity, or `null` when every choice refused.
+   */
+  bookSlot (req: GrantRequest, onDone: (held: HeldCapacity | null) => void): void {
+    const order = this._order(req)
+    const mode = this._setup.policy.mode
+    if (mode === BookingMode.None) onDone({ endpointId: order[0] ?? '', release: () => {} })
+    if (mode === BookingMode.LocalShare) onDone(this._bookShare(order, req))
+    if (mode === BookingMode.Owner) this._walk(new BookingWalk(order.slice(0, MAX_ASKS), this._ownersOf, this._silent), req, onDone)
+  }
+
+  private readonly _ownersOf = (endpointId: string): EndpointOwners => this._ownership.of(endpointId)
+
+  private _order (req: GrantRequest): readonly string[] {
+    const facts = this._setup.fleet.endpoints
+      .filter(endpoint => endpoint.stage === req.stage)
+      .map(endpoint => this._facts(endpoint))
+    const chooser = this._choosers.get(req.stage)
+    return chooser?.order(facts, { zone: this.zone, expectedMs: req.expectedMs }, this._setup.random) ?? []
+  }
+
+  private _facts (endpoint: OwnedEndpoint): EndpointFacts {
+    const usedSlots = this._used.get(endpoint.id) ?? this._setup.fleet.reported.get(endpoint.id) ?? 0
+    return { endpointId: endpoint.id, zone: endpoint.zone, slots: endpoint.slots, usedSlots, weight: 1, savedMs: 0 }
+  }
+
+  private _walk (walk: BookingWalk, req: GrantRequest, onDone: (held: HeldCapacity | null) => void): void {
+    const ask = walk.next(this._setup.loop.nowMs)
+    if (ask === null) {
+      onDone(null)
+      return
+    }
+    this._ask(ask, req, answer => {
+      if (answer === null) walk.unanswered(ask, this._setup.loop.nowMs)
+      else walk.answered(ask, answer)
+      if (answer !== null) this._noteFree(ask.endpointId, answer)
+      if (answer?.grant) onDone(this._hold(ask, answer.grant))
+      else this._walk(walk, req, onDone)
+    })
+  }
+
+  private _ask (ask: GrantAsk, req: GrantRequest, onAnswer: (answer: GrantAnswer | null) => void): void {
+    let open = true
+    const settle = (answer: GrantAnswer | null): void => {
+      if (!open) this._releaseLate(ask, answer)
+      if (!open) return
+      open = false
+      if (this.alive) onAnswer(answer)
+    }
+    this._setup.loop.after(OWNER_WAIT_MS, () => { if (open) settle(null) })
+    this._send(ask.hostId, owner => {
+      const answer = owner.book.grant(ask.endpointId, req, this._setup.loop.nowMs)
+      owner._send(this.id, () => settle(answer))
+    })
+  }
+
+  private _releaseLate (ask: GrantAsk, answer: GrantAnswer | null): void {
+    const grant = answer?.grant
+    if (grant) this._send(ask.hostId, owner => owner.book.release(ask.endpointId, grant.id, this._setup.loop.nowMs))
+  }
+
+  private _hold (ask: GrantAsk, grant: Grant): HeldCapacity {
+    let held = true
+    const renew = (): void => {
+      if (!held || !this.alive) return
+      this._send(ask.hostId, owner => owner.book.renew(ask.endpointId, grant.id, this._setup.loop.nowMs))
+      this._setup.loop.after(GRANT_RENEW_MS, renew)
+    }
+    this._setup.loop.after(GRANT_RENEW_MS, renew)
+    const release = (): void => {
+      if (!held) return
+      held = false
+      this._send(this._currentOwner(ask), owner => owner.book.release(ask.endpointId, grant.id, this._setup.loop.nowMs))
+    }
+    return { endpointId: ask.endpointId, release }
+  }
+
+  private _currentOwner (ask: GrantAsk): string {
+    const { owner, deputy } = this._ownersOf(ask.endpointId)
+    const stillGrants = owner?.id === ask.hostId || deputy?.id === ask.hostId
+    return stillGrants ? ask.hostId : owner?.id ?? ask.hostId
+  }
+
+  private _send (to: string, deliver: (host: FakeHost) => void): void {
+    const target = this._setup.hosts.get(to)
+    const delayMs = this._setup.fleet.delayMs(this.zone, this._setup.fleet.zoneOfHost(to))
+    if (!this.alive) return
+    this._setup.loop.after(to === this.id ? 0 : delayMs, () => {
+      if (target?.alive === true && this._setup.reachable(this.id, to)) deliver(target)
+    })
+  }
+
+  private _noteFree (endpointId: string, answer: GrantAnswer): void {
+    const slots = this._setup.fleet.endpoints.find(endpoint => endpoint.id === endpointId)?.slots ?? 0
+    const full = answer.refusal === GrantRefusal.NoSlot || answer.refusal === GrantRefusal.NoPieces
+    if (answer.refusal === null || full) this._used.set(endpointId, full ? slots : slots - answer.free.slots)
+  }
+
+  private _bookShare (order: readonly string[], req: GrantRequest): HeldCapacity | null {
+    const nowMs = this._setup.loop.nowMs
+    if (req.stage === BookingStage.Prefill) return { endpointId: order[0] ?? '', release: () => {} }
+    const endpointId = order.find(id => this._shares.get(id)?.grant(req, nowMs).grant)
+    if (endpointId === undefined) return null
+    return { endpointId, release: () => this._shares.get(endpointId)?.release(grantId(req), this._setup.loop.nowMs) }
+  }
+
+  private _newShares (): Map<string, EndpointLedger> {
+    const index = this._list.hosts.findIndex(host => host.id === this.id)
+    const hosts = this._list.hosts.length
+    return new Map(this._setup.fleet.endpoints.map((endpoint, at) => {
+      const slots = localShareSlots(endpoint.slots, hosts, (index + at) % hosts)
+      const pieces = Math.floor(endpoint.kvPieces / hosts)
+      const link = new LinkLedger(endpoint.linkBytesPerSecond / hosts)
+      return [endpoint.id, new EndpointLedger({ slots, pieces, stage: endpoint.stage }, link, CountingRule.Exact)]
+    }))
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policy/JaymillWorkload.ts
@@ -0,0 +1,75 @@
+import { Random, RouteClass } from '@jaymill/core'
+import type { PolicySite } from './JaymillPolicySite.js'
+
+/** One request of the workload. */
+export interface WorkRequest {
+  readonly id: string
+  readonly atMs: number
+  readonly accountId: string
+  readonly class: RouteClass
+  readonly promptTokens: number
+  readonly answerTokens: number
+  /** Time from the arrival at which the caller goes away, in milliseconds; `null` when it stays. */
+  readonly cancelAfterMs: number | null
+  /** Draw in [0, 1) by which the balancer picks a host. */
+  readonly balancerDraw: number
+}
+
+/** Shape of the demand. */
+export interface Demand {
+  readonly startMs: number
+  readonly endMs: number
+  /** Requests a second at a time. */
+  readonly rateAt: (atMs: number) => number
+  readonly cancelShare: number
+}
+
+const ACCOUNTS = 12
+const HEAVY_ACCOUNT_SHARE = 0.4
+const VERDICT_SHARE = 0.3
+const MAX_CANCEL_MS = 5_000
+const MIN_TOKENS = 40
+const MAX_PROMPT_TOKENS = 12_000
+const MAX_ANSWER_TOKENS = 600
+
+function exponential (random: Random, mean: number): number {
+  return -Math.log(1 - random.next()) * mean
+}
+
+function tokens (random: Random, mean: number, max: number): number {
+  return Math.min(max, Math.round(MIN_TOKENS + exponential(random, mean - MIN_TOKENS)))
+}
+
+function account (random: Random): string {
+  const heavy = random.next() < HEAVY_ACCOUNT_SHARE
+  return heavy ? 'account-0' : `account-${1 + Math.floor(random.next() * (ACCOUNTS - 1))}`
+}
+
+function request (site: PolicySite, demand: Demand, random: Random, index: number, atMs: number): WorkRequest {
+  return {
+    id: `req-${index}`,
+    atMs,
+    accountId: account(random),
+    class: random.next() < VERDICT_SHARE ? RouteClass.Verdict : RouteClass.Summary,
+    promptTokens: tokens(random, site.meanPromptTokens, MAX_PROMPT_TOKENS),
+    answerTokens: tokens(random, site.meanAnswerTokens, MAX_ANSWER_TOKENS),
+    cancelAfterMs: random.next() < demand.cancelShare ? random.next() * MAX_CANCEL_MS : null,
+    balancerDraw: random.next()
+  }
+}
+
+/**
+ * Generates the requests of one run.
+ *
+ * @param site - Sizes.
+ * @param demand - Shape of the demand.
+ * @param random - Seeded source; the same seed gives the same requests.
+ * @returns Requests by time.
+ */
+export function workload (site: PolicySite, demand: Demand, random: Random): readonly WorkRequest[] {
+  const requests: WorkRequest[] = []
+  for (let atMs = demand.startMs; atMs < demand.endMs; atMs += exponential(random, 1_000 / demand.rateAt(atMs))) {
+    requests.push(request(site, demand, random, requests.length, atMs))
+  }
+  return requests
+}
--- /dev/null
+++ b/packages/core/src/__tests__/unit/JaymillAdmission.test.ts
@@ -0,0 +1,102 @@
+import { describe, expect, test } from 'vitest'
+import {
+  AccountLimiter, AdmissionItem, AdmissionQueue, AdmissionRefusal, EqualShareLimiter, FairQueue, LeasedLimiter, RouteClass,
+  SeededRandom, TokenLeaseOwner
+} from '../../index.js'
+
+function item (id: string, changes: Partial<AdmissionItem> = {}): AdmissionItem {
+  return { id, accountId: 'a', weight: 1, tokens: 100, class: RouteClass.Summary, latestStartMs: 10_000, ...changes }
+}
+
+const serve = (queue: AdmissionQueue<AdmissionItem>, nowMs: number): AdmissionItem | undefined => {
+  const next = queue.take()
+  if (next !== undefined) queue.started(next, nowMs)
+  return next
+}
+
+describe('FairQueue', () => {
+  test('shares tokens by weight, whatever the backlog of an account', () => {
+    const queue = new FairQueue<AdmissionItem>()
+    Array.from({ length: 90 }, (_, index) => queue.push(item(`heavy-${index}`, { accountId: 'heavy' })))
+    Array.from({ length: 30 }, (_, index) => queue.push(item(`light-${index}`, { accountId: 'light', weight: 2 })))
+    const served = Array.from({ length: 30 }, () => {
+      const next = queue.take()
+      queue.done(next?.id ?? '')
+      return next?.accountId
+    })
+    expect(served.filter(id => id === 'light').length).toBe(20)
+  })
+
+  test('returns a request that was not booked to its former place', () => {
+    const queue = new FairQueue<AdmissionItem>();
+    ['a', 'b', 'c'].forEach(id => queue.push(item(id)))
+    const first = queue.take()
+    queue.putBack(first?.id ?? '')
+    expect(queue.take()?.id).toBe('a')
+  })
+})
+
+describe('AdmissionQueue', () => {
+  test('serves bookings before verdicts before summaries, and starves none', () => {
+    const queue = new AdmissionQueue<AdmissionItem>()
+    Array.from({ length: 40 }, (_, index) => queue.offer(item(`v${index}`, { class: RouteClass.Verdict }), 0))
+    Array.from({ length: 10 }, (_, index) => queue.offer(item(`s${index}`), 0))
+    queue.offer(item('booking', { class: RouteClass.Booking }), 0)
+    const served = Array.from({ length: 20 }, (_, index) => serve(queue, index)?.class)
+    expect(served[0]).toBe(RouteClass.Booking)
+    expect(served.filter(name => name === RouteClass.Summary)).toHaveLength(4)
+  })
+
+  test('refuses at once what would wait past its target, and later what has', () => {
+    const queue = new AdmissionQueue<AdmissionItem>()
+    Array.from({ length: 50 }, (_, index) => queue.offer(item(`r${index}`), 0))
+    Array.from({ length: 10 }, (_, index) => serve(queue, index * 100))
+    expect(queue.offer(item('late', { latestStartMs: 2_000 }), 1_000)?.refusal).toBe(AdmissionRefusal.CannotMeetTarget)
+    expect(queue.offer(item('patient'), 1_000)).toBeNull()
+    expect(queue.expire(10_001)).toHaveLength(41)
+  })
+
+  test('is bounded', () => {
+    const queue = new AdmissionQueue<AdmissionItem>(2);
+    ['a', 'b'].forEach(id => queue.offer(item(id), 0))
+    expect(queue.offer(item('c'), 0)?.refusal).toBe(AdmissionRefusal.QueueFull)
+  })
+})
+
+describe('account limits over seven hosts', () => {
+  const limit = { accountId: 'a', tokensPerSecond: 1_000 }
+
+  /** Tokens let through in ten seconds when most of the demand comes in through one host. */
+  function passed (takeAt: (host: number, nowMs: number) => boolean): number {
+    const random = new SeededRandom(3)
+    return Array.from({ length: 1_000 }, (_, step) => {
+      const host = random.next() < 0.95 ? 0 : Math.floor(random.next() * 7)
+      return takeAt(host, step * 10) ? 50 : 0
+    }).reduce<number>((sum, tokens) => sum + tokens, 0)
+  }
+
+  test('leases hold the limit and let a lopsided demand use it', () => {
+    const owner = new TokenLeaseOwner()
+    const limiters = Array.from({ length: 7 }, () => new LeasedLimiter(() => 7))
+    const used = passed((host, nowMs) => {
+      const limiter = limiters[host] as LeasedLimiter
+      const first = limiter.take(limit, 50, nowMs)
+      if (first.allowed) return true
+      limiter.receive(owner.lease(limit, first.leaseTokens, nowMs), nowMs)
+      return limiter.take(limit, 50, nowMs).allowed
+    })
+    const shares: AccountLimiter[] = Array.from({ length: 7 }, () => new EqualShareLimiter(() => 7))
+    const shared = passed((host, nowMs) => shares[host]?.take(limit, 50, nowMs).allowed === true)
+    expect(used).toBeLessThanOrEqual(11_000)
+    expect(used).toBeGreaterThan(10_000)
+    expect(shared).toBeLessThan(used * 0.9)
+  })
+
+  test('a lease ends with its time', () => {
+    const limiter = new LeasedLimiter(() => 7)
+    limiter.receive({ accountId: 'a', tokens: 100, ttlMs: 1_000 }, 0)
+    expect(limiter.take(limit, 100, 1_000).allowed).toBe(false)
+    expect(limiter.takeShare(limit, 100, 1_000).allowed).toBe(true)
+    expect(limiter.takeShare(limit, 100, 1_000).allowed).toBe(false)
+  })
+})
--- /dev/null
+++ b/packages/core/src/admission/JaymillAdmissionConstants.ts
@@ -0,0 +1,17 @@
+/** Items that one class may queue on one host. */
+export const MAX_QUEUED_PER_CLASS = 256
+
+/** Takes from higher classes after which a waiting class gets one, by order of class. */
+export const PASSED_OVER_LIMIT = { booking: 1_000, lookup: 16, verdict: 8, summary: 4 } as const
+
+/** Weight of the newest interval in the estimate of the start rate. */
+export const START_RATE_ALPHA = 0.1
+
+/** Shortest retry time given with a refusal, in milliseconds. */
+export const MIN_RETRY_AFTER_MS = 250
+
+/** Time for which leased tokens may be used, in milliseconds. */
+export const TOKEN_LEASE_MS = 1_000
+
+/** Tokens that an account may save up, as time at its rate, in milliseconds. */
+export const BURST_MS = 1_000
--- /dev/null
+++ b/packages/core/src/admission/JaymillGossipLimiter.ts
@@ -0,0 +1,36 @@
+import { AccountLimit, AccountLimiter, ALLOWED, DENIED, LimitAnswer } from './JaymillAccountLimiter.js'
+import { TokenBucket } from './JaymillTokenBucket.js'
+
+/** Gives every host the whole limit and charges it with what other hosts say they used; overshoots by the lag. */
+export class GossipLimiter extends AccountLimiter {
+  private readonly _buckets = new Map<string, TokenBucket>()
+  private readonly _used = new Map<string, number>()
+
+  /** {@inheritDoc AccountLimiter.take} */
+  take (limit: AccountLimit, tokens: number, nowMs: number): LimitAnswer {
+    const bucket = this._buckets.get(limit.accountId) ?? new TokenBucket(limit.tokensPerSecond, nowMs)
+    this._buckets.set(limit.accountId, bucket)
+    if (!bucket.take(tokens, nowMs)) return DENIED
+    this._used.set(limit.accountId, (this._used.get(limit.accountId) ?? 0) + tokens)
+    return ALLOWED
+  }
+
+  /**
+   * @returns Tokens used by this host since the last call, by account.
+   */
+  drain (): ReadonlyMap<string, number> {
+    const used = new Map(this._used)
+    this._used.clear()
+    return used
+  }
+
+  /**
+   * Charges what another host drained.
+   *
+   * @param used - Tokens by account.
+   * @param nowMs - Monotonic time in milliseconds.
+   */
+  hear (used: ReadonlyMap<string, number>, nowMs: number): void {
+    used.forEach((tokens, id) => this._buckets.get(id)?.charge(tokens, nowMs))
+  }
+}
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './JaymillAccountLimiter.js'
+export * from './JaymillAdmissionConstants.js'
+export * from './JaymillAdmissionQueue.js'
+export * from './JaymillFairQueue.js'
+export * from './JaymillGossipLimiter.js'
+export * from './JaymillTokenBucket.js'
+export * from './JaymillTokenLease.js'
