Run bookings at most once through any host

Cause: a booking that was resent through another host ran again. Change: the key owner is driven by lease questions over the peer listener; the entry host passes a request of a non-idempotent route to the key's owner, which sends it once, joins resends to the running call and replays its answer. The lease messages between hosts are those of the key owner; the host list may name slots and declare a cold start; status shows lease, take-over time and decisions. Conclusion: resends through any host are answered from the one run.

--- a/packages/adapters/src/__tests__/failure/JaymillPeers.test.ts
+++ b/packages/adapters/src/__tests__/failure/JaymillPeers.test.ts
@@ -111,7 +111,7 @@
     await expect(bad).rejects.toMatchObject({ kind: ErrorKind.BadRequest })
     const full = client.book({ from: 'a', incarnation: 1, request: BOOKING }, abort.signal)
     await expect(full).rejects.toMatchObject({ kind: ErrorKind.Overloaded, ran: RanState.No, retryAfterMs: 70 })
-    const lease = client.confirmLease({ from: 'a', incarnation: 1, revision: 1 }, abort.signal)
+    const lease = client.confirmLease({ from: 'a', incarnation: 1, seq: 1, known: [] }, abort.signal)
     await expect(lease).rejects.toMatchObject({ kind: ErrorKind.Invariant, message: 'internal error' })
   })
 
--- a/packages/adapters/src/peers/routers/JaymillLeaseRouter.ts
+++ b/packages/adapters/src/peers/routers/JaymillLeaseRouter.ts
@@ -4,15 +4,29 @@
 import { countSchema, idSchema, senderShape } from '../JaymillPeerSchemas.js'
 import { callerSignal, createRouter, procedure } from '../JaymillPeerTrpc.js'
 
+const revisionsSchema = z.array(countSchema).max(MAX_LISTS)
+
+const groupListSchema = z.object({
+  revision: countSchema,
+  members: z.array(idSchema).max(MAX_HOSTS),
+  owners: z.array(idSchema).max(MAX_HOSTS),
+  slots: z.record(idSchema, idSchema).optional(),
+  coldStartAtMs: countSchema.optional()
+})
+
 /** Check of a lease question. */
-export const leaseQuestionSchema: z.ZodType<LeaseQuestion> = z.object({ ...senderShape, revision: countSchema })
+export const leaseQuestionSchema: z.ZodType<LeaseQuestion> = z.object({ ...senderShape, seq: countSchema, known: revisionsSchema })
 
 /** Check of a lease answer. */
 export const leaseAnswerSchema: z.ZodType<LeaseAnswer> = z.object({
   ...senderShape,
-  confirms: z.boolean(),
-  highestRevision: countSchema,
-  adopted: z.array(z.object({ revision: countSchema, hosts: z.array(idSchema).max(MAX_HOSTS) })).max(MAX_LISTS)
+  seq: countSchema,
+  recovered: z.boolean(),
+  adopted: revisionsSchema,
+  floor: countSchema,
+  completeFrom: countSchema,
+  revisions: revisionsSchema,
+  lists: z.array(groupListSchema).max(MAX_LISTS)
 })
 
 /**
--- a/packages/bench/src/demo/JaymillDemoDocuments.ts
+++ b/packages/bench/src/demo/JaymillDemoDocuments.ts
@@ -78,9 +78,13 @@
  *
  * @param revision - Revision of the document.
  * @param hosts - Ids and peer addresses of live hosts.
+ * @param coldStartAtMs - Time of a declared cold start, in wall-clock milliseconds; none by default.
  * @returns The list.
  */
-export function demoHosts (revision: number, hosts: ReadonlyArray<{ id: string, zone: string, peerUrl: string }>): HostList {
+export function demoHosts (
+  revision: number, hosts: ReadonlyArray<{ id: string, zone: string, peerUrl: string }>, coldStartAtMs?: number
+): HostList {
   const entries: HostEntry[] = hosts.map(host => ({ ...host, region: REGION, state: HostState.Live }))
-  return { revision, hosts: entries, leavingEndpoints: [] }
+  const cold = coldStartAtMs === undefined ? {} : { coldStart: { revision, atMs: coldStartAtMs } }
+  return { revision, hosts: entries, leavingEndpoints: [], ...cold }
 }
--- a/packages/bench/src/demo/JaymillDemoFleet.ts
+++ b/packages/bench/src/demo/JaymillDemoFleet.ts
@@ -9,6 +9,9 @@
 /** Admin token of the demo's hosts. */
 export const DEMO_ADMIN_TOKEN = 'demo-admin'
 
+/** Time from the start of the hosts to their declared cold start, in milliseconds; longer than the clock skew allowed. */
+const COLD_START_MS = 500
+
 /** Sizes of a demo fleet. */
 export interface DemoFleetOptions {
   readonly hosts: number
@@ -66,8 +69,23 @@
     signal.addEventListener('abort', () => this.hosts.forEach(({ daemon }) => daemon.kill()), { once: true })
     this.platform.publish('jaymill/hosts', demoHosts(1, this.hosts.map(({ id, urls }, index) => (
       { id, zone: zoneOf(index), peerUrl: urls.peer }
-    ))))
+    )), Date.now() + COLD_START_MS))
     await Promise.all(this.hosts.map(({ urls }) => until('host ready', async () => (await fetch(`${urls.admin}/readyz`)).ok)))
+    await Promise.all(this.hosts.map(host => this.ownsKeys(host)))
+  }
+
+  /**
+   * Waits until a host runs requests under keys that are minted from now on.
+   *
+   * @param host - Host.
+   */
+  async ownsKeys ({ urls }: DemoHost): Promise<void> {
+    const headers = { Authorization: `Bearer ${DEMO_ADMIN_TOKEN}` }
+    await until('host owns keys', async () => {
+      const res = await fetch(`${urls.admin}/status`, { headers })
+      const { idempotency } = await res.json() as { idempotency: { leaseLeftMs: number, takeOverMs: number | null } }
+      return idempotency.leaseLeftMs > 0 && idempotency.takeOverMs !== null && idempotency.takeOverMs < Date.now()
+    })
   }
 
   private async _startHost (index: number): Promise<DemoHost> {
--- a/packages/bench/src/demo/JaymillDemoScenarios.ts
+++ b/packages/bench/src/demo/JaymillDemoScenarios.ts
@@ -1,3 +1,5 @@
+import { randomUUID } from 'node:crypto'
+import { v7 as mintKey } from 'uuid'
 import { expectedAnswer } from '../standins/JaymillDeterministicText.js'
 import type { EngineStandIn } from '../standins/JaymillEngineStandIn.js'
 import { DemoCaller, StreamedAnswer } from './JaymillDemoCaller.js'
@@ -75,6 +77,23 @@
   }
 }
 
+/** Bookings are sent once and resent through every other host, with a key that carries its time and with a plain one. */
+export class BookingScenario extends DemoScenario {
+  readonly name = 'bookings resent through every host'
+
+  /** {@inheritDoc DemoScenario.run} */
+  async run (fleet: DemoFleet): Promise<ScenarioResult> {
+    const keys = [mintKey(), randomUUID()]
+    const seen = await Promise.all(keys.map(key => Promise.all(fleet.hosts.map(host => callerOf(host).book('guide-17', key)))))
+    const unkeyed = await callerOf(fleet.hosts[0]).book('guide-18')
+    const counts = keys.map(key => fleet.services.flatMap(({ bookings }) => bookings).filter(item => item.idempotencyKey === key).length)
+    const same = seen.every(answers => answers.every(({ status, body }) => status === 201 && body.booking === answers[0]?.body.booking))
+    const lines = keys.map((key, i) => `key ${key}: sent through ${fleet.hosts.length} hosts, ran ${counts[i]} times`)
+    const ok = same && counts.every(count => count === 1) && unkeyed.status === 201
+    return { ok, lines: [...lines, `without a key: ${JSON.stringify(unkeyed.body)}`] }
+  }
+}
+
 /** A host stops while it streams. */
 export class GracefulStopScenario extends DemoScenario {
   readonly name = 'a host stops gracefully while it streams'
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -2,11 +2,11 @@
 import sade from 'sade'
 import { DEMO_MODEL } from './JaymillDemoDocuments.js'
 import { DEMO_ADMIN_TOKEN, DemoFleet } from './JaymillDemoFleet.js'
-import { CancelScenario, EndpointDeathScenario, GracefulStopScenario, ReportsScenario } from './JaymillDemoScenarios.js'
+import { BookingScenario, CancelScenario, EndpointDeathScenario, GracefulStopScenario, ReportsScenario } from './JaymillDemoScenarios.js'
 import { DemoScenario } from './JaymillDemoScenario.js'
 
 const SCENARIOS: readonly DemoScenario[] = [
-  new ReportsScenario(), new CancelScenario(), new EndpointDeathScenario(), new GracefulStopScenario()
+  new ReportsScenario(), new BookingScenario(), new CancelScenario(), new EndpointDeathScenario(), new GracefulStopScenario()
 ]
 
 function describeFleet (fleet: DemoFleet): object {
--- a/packages/bench/src/model/JaymillOwnerCluster.ts
+++ b/packages/bench/src/model/JaymillOwnerCluster.ts
@@ -41,7 +41,7 @@
    */
   start (id: string): void {
     this._incarnation += 1
-    this.hosts.set(id, new KeyOwner(id, this._incarnation, this.at, this._parts()))
+    this.hosts.set(id, new KeyOwner({ self: id, incarnation: this._incarnation, startedAt: this.at }, this._parts()))
   }
 
   /**
--- a/packages/bench/src/model/JaymillOwnershipWalk.ts
+++ b/packages/bench/src/model/JaymillOwnershipWalk.ts
@@ -121,7 +121,7 @@
 
   private _start (id: string, skewMs: number, incarnation = 1): WalkHost {
     const at = this._at({ skewMs })
-    return { id, skewMs, incarnation, owner: new KeyOwner(id, incarnation, at, this._parts(id, at)), awake: true }
+    return { id, skewMs, incarnation, owner: new KeyOwner({ self: id, incarnation, startedAt: at }, this._parts(id, at)), awake: true }
   }
 
   private _restart (host: WalkHost): void {
--- a/packages/core/src/idempotency/JaymillKeyDecision.ts
+++ b/packages/core/src/idempotency/JaymillKeyDecision.ts
@@ -22,6 +22,8 @@
   BeforeTakeOver = 'before-take-over',
   /** The key is older than the outcomes the host remembers. */
   Forgotten = 'forgotten',
+  /** The host that was asked does not own the key. */
+  NotOwner = 'not-owner',
   /** The call left and its outcome was never learned. */
   OutcomeLost = 'outcome-lost'
 }
@@ -54,8 +56,8 @@
 export type Decision =
   | { readonly kind: DecisionKind.Run, readonly permit: RunPermit }
   | { readonly kind: DecisionKind.Join, readonly id: string }
-  /** `answer` is absent when it was too large to be kept. */
-  | { readonly kind: DecisionKind.Replay, readonly status: number, readonly answer?: KeptAnswer }
+  /** `answer` is absent when it was cut short or too large to be kept. */
+  | { readonly kind: DecisionKind.Replay, readonly answer?: KeptAnswer }
   | { readonly kind: DecisionKind.NotRun }
   | { readonly kind: DecisionKind.Unknown, readonly reason: UnknownReason }
   | { readonly kind: DecisionKind.KeyConflict }
--- a/packages/core/src/idempotency/JaymillKeyOwner.ts
+++ b/packages/core/src/idempotency/JaymillKeyOwner.ts
@@ -20,6 +20,18 @@
   readonly records: KeyRecords
 }
 
+/** Identity and clock of a key owner. */
+export interface KeyOwnerOptions {
+  /** Id of this host. */
+  readonly self: string
+  /** Incarnation of this process. */
+  readonly incarnation: number
+  /** Start of this process. */
+  readonly startedAt: Instant
+  /** Largest difference between the wall clocks of two hosts in milliseconds; the same on all hosts. */
+  readonly skewMs?: number
+}
+
 /** What an operator wants to know of an owner. */
 export interface KeyOwnerFacts {
   readonly recovered: boolean
@@ -42,6 +54,7 @@
 export class KeyOwner {
   private readonly _self: string
   private readonly _incarnation: number
+  private readonly _skewMs: number
   private readonly _parts: KeyOwnerParts
   private readonly _evidence: PeerEvidence
   private _history: ListHistory | undefined
@@ -50,20 +63,19 @@
   private _seq = 0
 
   /**
-   * @param self - Id of this host.
-   * @param incarnation - Incarnation of this process.
-   * @param startedAt - Start of this process.
+   * @param options - Identity and clock.
    * @param parts - Rules that differ from the safe ones.
    */
-  constructor (self: string, incarnation: number, startedAt: Instant, parts: Partial<KeyOwnerParts> = {}) {
+  constructor ({ self, incarnation, startedAt, skewMs = CLOCK_SKEW_MS }: KeyOwnerOptions, parts: Partial<KeyOwnerParts> = {}) {
     this._self = self
     this._incarnation = incarnation
+    this._skewMs = skewMs
     this._evidence = new PeerEvidence(incarnation)
     this._parts = {
       lease: parts.lease ?? new LeaseKeeper(),
       activation: parts.activation ?? new Activation(),
-      recovery: parts.recovery ?? new Recovery(self, startedAt),
-      takeOver: parts.takeOver ?? new TakeOver(),
+      recovery: parts.recovery ?? new Recovery(self, startedAt, skewMs),
+      takeOver: parts.takeOver ?? new TakeOver(skewMs),
       records: parts.records ?? new KeyRecords()
     }
   }
@@ -142,7 +154,7 @@
     const record = this._parts.records.get(recordId(req))
     if (record !== undefined) return this._recall(record, req)
     const mintMs = mintTimeMs(req.key)
-    if (mintMs !== undefined && mintMs > at.wallMs + CLOCK_SKEW_MS) return { kind: DecisionKind.KeyRefused }
+    if (mintMs !== undefined && mintMs > at.wallMs + this._skewMs) return { kind: DecisionKind.KeyRefused }
     return this._obstacle(req, mintMs, at) ?? this._permit(req, mintMs, at)
   }
 
@@ -182,9 +194,9 @@
    * Settles a request that has run.
    *
    * @param permit - Its permit.
-   * @param answer - Answer of the endpoint.
+   * @param answer - Answer of the endpoint, when all of it was received and is small enough to be kept.
    */
-  ran (permit: RunPermit, answer: KeptAnswer): void {
+  ran (permit: RunPermit, answer?: KeptAnswer): void {
     this._parts.records.settle(permit.id, RecordState.Ran, answer)
   }
 
@@ -259,7 +271,7 @@
   private _adopt (at: Instant): void {
     const list = this._published
     if (list === undefined || list.revision <= (this._current()?.revision ?? 0)) return
-    if (list.coldStartAtMs !== undefined && at.wallMs < list.coldStartAtMs + CLOCK_SKEW_MS) return
+    if (list.coldStartAtMs !== undefined && at.wallMs < list.coldStartAtMs + this._skewMs) return
     if (this._parts.recovery.coversColdStart(list)) this._restart(list)
     else if (this._history === undefined) this._history = this._parts.recovery.complete(list, at.nowMs)
     else this._history.adopt(list)
@@ -319,11 +331,11 @@
 
   private _recall (record: KeyRecord, req: KeyedRequest): Decision {
     if (record.fingerprint !== req.fingerprint) return { kind: DecisionKind.KeyConflict }
-    const { id, status = 0, answer } = record
+    const { id, answer } = record
     const decisions: Record<RecordState, Decision> = {
       [RecordState.Permitted]: { kind: DecisionKind.Join, id },
       [RecordState.Sent]: { kind: DecisionKind.Join, id },
-      [RecordState.Ran]: { kind: DecisionKind.Replay, status, ...(answer === undefined ? {} : { answer }) },
+      [RecordState.Ran]: { kind: DecisionKind.Replay, ...(answer === undefined ? {} : { answer }) },
       [RecordState.Refused]: { kind: DecisionKind.NotRun },
       [RecordState.Lost]: { kind: DecisionKind.Unknown, reason: UnknownReason.OutcomeLost }
     }
--- a/packages/core/src/idempotency/JaymillKeyRecords.ts
+++ b/packages/core/src/idempotency/JaymillKeyRecords.ts
@@ -23,7 +23,6 @@
   /** Monotonic time of the first arrival, in milliseconds. */
   readonly createdAtMs: number
   readonly state: RecordState
-  readonly status?: number
   readonly answer?: KeptAnswer
 }
 
@@ -110,8 +109,7 @@
     const record = this._records.get(id)
     if (record === undefined) return
     const kept = answer !== undefined && answer.body.byteLength <= this._limits.answerBytes ? { answer } : {}
-    const status = answer === undefined ? {} : { status: answer.status }
-    this._records.set(id, { ...record, state, ...status, ...kept })
+    this._records.set(id, { ...record, state, ...kept })
     if (kept.answer !== undefined) this._keepAnswer(id, kept.answer.body.byteLength)
   }
 
--- a/packages/core/src/idempotency/JaymillRecovery.ts
+++ b/packages/core/src/idempotency/JaymillRecovery.ts
@@ -16,14 +16,17 @@
 export class Recovery {
   private readonly _self: string
   private readonly _startedAt: Instant
+  private readonly _skewMs: number
   private readonly _heard = new Map<string, Heard>()
 
   /**
    * @param self - Id of this host.
    * @param startedAt - Start of the process.
+   * @param skewMs - Largest difference between the wall clocks of two hosts, in milliseconds.
    */
-  constructor (self: string, startedAt: Instant) {
+  constructor (self: string, startedAt: Instant, skewMs = CLOCK_SKEW_MS) {
     this._self = self
+    this._skewMs = skewMs
     this._startedAt = startedAt
   }
 
@@ -48,7 +51,7 @@
    * @returns Whether the declaration stands in for the answers of others.
    */
   coversColdStart (list: GroupList): boolean {
-    return list.coldStartAtMs !== undefined && this._startedAt.wallMs < list.coldStartAtMs - CLOCK_SKEW_MS
+    return list.coldStartAtMs !== undefined && this._startedAt.wallMs < list.coldStartAtMs - this._skewMs
   }
 
   /**
--- a/packages/core/src/idempotency/JaymillTakeOver.ts
+++ b/packages/core/src/idempotency/JaymillTakeOver.ts
@@ -20,8 +20,16 @@
  * A host that owned a key in its last active revision, and in all that may have been active since, keeps its time.
  */
 export class TakeOver {
+  private readonly _skewMs: number
   private _epochs: ActiveEpoch[] = []
 
+  /**
+   * @param skewMs - Largest difference between the wall clocks of two hosts, in milliseconds.
+   */
+  constructor (skewMs = CLOCK_SKEW_MS) {
+    this._skewMs = skewMs
+  }
+
   /**
    * Begins an epoch.
    *
@@ -94,7 +102,7 @@
    * @returns Wall-clock milliseconds.
    */
   get closedMs (): number {
-    return (this._epochs.at(-1)?.heldAtMs ?? -Infinity) + CLOCK_SKEW_MS
+    return (this._epochs.at(-1)?.heldAtMs ?? -Infinity) + this._skewMs
   }
 
   /**
@@ -104,7 +112,7 @@
    * @returns Earliest mint time that only a later owner accepts, in wall-clock milliseconds.
    */
   protected _mintFloorMs (lastActMs: number): number {
-    return lastActMs + 2 * CLOCK_SKEW_MS
+    return lastActMs + 2 * this._skewMs
   }
 
   private _firstOwned (key: string, self: string): ActiveEpoch | undefined {
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -4,14 +4,16 @@
 import type { Logger } from 'winston'
 import { AdminServer } from './admin/JaymillAdminServer.js'
 import { CallerServer } from './callers/JaymillCallerServer.js'
-import { sendProblem } from './callers/JaymillProblemReply.js'
 import { PublishedDocuments } from './config/JaymillPublishedDocuments.js'
 import { ThinPlatformReader } from './config/JaymillThinPlatformReader.js'
 import type { HostContext } from './JaymillHostContext.js'
+import { ForwardServer } from './idempotency/JaymillForwardServer.js'
+import { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
+import { OwnedRequests } from './idempotency/JaymillOwnedRequests.js'
 import { createHostLogger } from './logging/JaymillLogger.js'
 import { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 import {
-  RefusingBookingHandler, RefusingConfigHandler, RefusingHeartbeatHandler, RefusingLeaseHandler
+  RefusingBookingHandler, RefusingConfigHandler, RefusingHeartbeatHandler
 } from './peers/JaymillRefusingPeerHandlers.js'
 import { SystemClock } from './ports/JaymillSystemClock.js'
 import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
@@ -32,6 +34,7 @@
   private readonly _documents = new PublishedDocuments()
   private readonly _owner = new AbortController()
   private readonly _ctx: HostContext
+  private readonly _owned: OwnedRequests
   private readonly _callers: CallerServer
   private readonly _admin: AdminServer
   private readonly _platform: PlatformReader
@@ -48,6 +51,7 @@
     const { _documents: documents } = this
     const secrets = new SystemSecretReader()
     const peerToken = readSecret(settings.credentials.peerToken, 'credentials.peerToken', secrets)
+    const peers = new PeerNetwork(settings, peerToken, () => documents.hosts(), this._owner.signal)
     this._ctx = {
       settings,
       identity,
@@ -58,13 +62,15 @@
       engines: new UndiciEngineClient({ signal: this._owner.signal }),
       services: new HttpServiceClient({ signal: this._owner.signal }),
       booker: new LocalSlotBooker(() => documents.fleet(), () => documents.hosts(), identity.id),
-      peers: new PeerNetwork(settings, peerToken, () => documents.hosts(), this._owner.signal),
+      peers,
+      keys: new KeyOwnerDriver({ identity, limits: settings.limits, clock, log, peers, hosts: () => documents.hosts() }),
       fleet: () => documents.fleet(),
       hosts: () => documents.hosts(),
       draining: () => this._draining
     }
     this._platform = new ThinPlatformReader(settings.platform)
-    this._callers = new CallerServer(this._ctx)
+    this._owned = new OwnedRequests(this._ctx, this._owner.signal)
+    this._callers = new CallerServer(this._ctx, this._owned)
     this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', secrets), {
       drain: () => { this.stop().catch(err => this._ctx.log.error('drain failed', { err })) },
       ready: () => this._ready
@@ -77,11 +83,13 @@
    * @returns Addresses.
    */
   async start (): Promise<DaemonUrls> {
+    const forwards = new ForwardServer(this._ctx, this._owned)
     const urls = {
       caller: await this._callers.listen(),
       admin: await this._admin.listen(),
-      peer: await this._ctx.peers.listen(this._peerHandlers(), (_req, res) => sendProblem(res, new RequestError(ErrorKind.NotFound, 'no such path')))
+      peer: await this._ctx.peers.listen(this._peerHandlers(), (req, res) => forwards.handle(req, res))
     }
+    this._ctx.keys.start(this._owner.signal)
     this._documents.follow(this._platform, this._ctx.log, this._owner.signal).catch(err => this._reportFollowing(err))
     this._ctx.log.info('host started', { ...urls, incarnation: this._ctx.identity.incarnation })
     return urls
@@ -107,7 +115,7 @@
   private _peerHandlers (): PeerHandlers {
     return {
       heartbeat: new RefusingHeartbeatHandler(),
-      lease: new RefusingLeaseHandler(),
+      lease: this._ctx.keys,
       booking: new RefusingBookingHandler(),
       config: new RefusingConfigHandler()
     }
@@ -122,6 +130,7 @@
     const deadline = setTimeout(() => this._reportDeadline(), this._ctx.settings.drainDeadlineMs)
     this._ctx.log.info('drain started', { running: this._callers.inFlight })
     await this._callers.idle()
+    await this._owned.idle()
     clearTimeout(deadline)
     this._ctx.log.info('drain complete')
     this.kill()
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -4,6 +4,7 @@
 import type { HttpServiceClient } from '@jaymill/adapters'
 import type { HostSettings } from '@jaymill/settings'
 import type { Logger } from 'winston'
+import type { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
 import type { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 
 /** What the rooms of the daemon share. */
@@ -18,6 +19,8 @@
   readonly services: HttpServiceClient
   readonly booker: SlotBooker
   readonly peers: PeerNetwork
+  /** Owner of idempotency keys. */
+  readonly keys: KeyOwnerDriver
   /**
    * @returns The configuration in force.
    * @throws RequestError of kind `NotReady` before the first one.
--- a/packages/daemon/src/admin/JaymillAdminServer.ts
+++ b/packages/daemon/src/admin/JaymillAdminServer.ts
@@ -92,6 +92,7 @@
       draining: this._ctx.draining(),
       fleetRevision: this._ctx.fleet().revision,
       hostListRevision: this._ctx.hosts().revision,
+      idempotency: this._ctx.keys.status(),
       running: this._ctx.requests.running.length
     }
   }
--- a/packages/daemon/src/callers/JaymillCallerExchange.ts
+++ b/packages/daemon/src/callers/JaymillCallerExchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { AccountConfig, ErrorKind, RanState, RequestError, RouteConfig } from '@jaymill/core'
 import type { CallerHeaders } from './JaymillCallerRequest.js'
+import { deadlineSignal } from './JaymillServiceCall.js'
 
 const SHORTEST_DEADLINE_MS = 1
 
@@ -74,11 +75,5 @@
  */
 export function withDeadline (exchange: CallerExchange, route: RouteConfig, owner: AbortSignal): Deadline {
   const budgetMs = Math.max(SHORTEST_DEADLINE_MS, Math.min(route.deadlineMs, exchange.headers.deadlineMs ?? Infinity))
-  const controller = new AbortController()
-  const expire = (): void => controller.abort(
-    new RequestError(ErrorKind.Deadline, `the deadline of ${budgetMs} ms has passed`, { ran: RanState.Unknown })
-  )
-  const timer = setTimeout(expire, budgetMs)
-  owner.addEventListener('abort', () => clearTimeout(timer), { once: true })
-  return { signal: AbortSignal.any([exchange.signal, controller.signal]), budgetMs }
+  return { signal: deadlineSignal(budgetMs, [exchange.signal], owner), budgetMs }
 }
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -2,7 +2,8 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { randomUUID } from 'node:crypto'
-import { ErrorKind, fleetIndex, RequestError } from '@jaymill/core'
+import { ErrorKind, fleetIndex, RanState, RequestError } from '@jaymill/core'
+import type { OwnedRequests } from '../idempotency/JaymillOwnedRequests.js'
 import type { HostContext } from '../JaymillHostContext.js'
 import { callerSignal, CallerExchange } from './JaymillCallerExchange.js'
 import { authenticate, readCallerHeaders } from './JaymillCallerRequest.js'
@@ -26,11 +27,12 @@
 
   /**
    * @param ctx - Shared parts of the host.
+   * @param owned - Requests whose keys this host owns.
    */
-  constructor (ctx: HostContext) {
+  constructor (ctx: HostContext, owned: OwnedRequests) {
     this._ctx = ctx
     this._completions = new CompletionRoute(ctx)
-    this._services = new ServiceRoute(ctx)
+    this._services = new ServiceRoute(ctx, owned)
     this._server = createServer(
       {
         maxHeaderSize: ctx.settings.limits.headerBytes,
@@ -81,7 +83,8 @@
       const headers = readCallerHeaders(req, randomUUID)
       requestId = headers.requestId
       if (this._ctx.draining()) {
-        throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { retryAfterMs: DRAIN_RETRY_AFTER_MS })
+        const ran = headers.idempotencyKey === undefined ? RanState.No : RanState.Unknown
+        throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { ran, retryAfterMs: DRAIN_RETRY_AFTER_MS })
       }
       const account = authenticate(req, fleetIndex(this._ctx.fleet()))
       await this._dispatch({ req, res, headers, account, signal: callerSignal(res) })
--- /dev/null
+++ b/packages/daemon/src/callers/JaymillServiceCall.ts
@@ -0,0 +1,115 @@
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import type { ServiceAnswer } from '@jaymill/adapters'
+import { Booking, BookingStage, ErrorKind, fleetIndex, RanState, RequestError, RouteClass, ServiceMatch } from '@jaymill/core'
+import type { HostContext } from '../JaymillHostContext.js'
+
+const PRIORITIES = Object.values(RouteClass)
+const DROPPED_HEADERS: readonly string[] = [
+  'authorization', 'connection', 'content-length', 'expect', 'host', 'keep-alive', 'proxy-authorization',
+  'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'x-deadline-ms', 'x-jaymill-route'
+]
+
+/** One call of a plain service by a host. */
+export interface ServiceSend {
+  readonly requestId: string
+  readonly idempotencyKey: string | undefined
+  readonly match: ServiceMatch
+  readonly method: string
+  /** Path and query. */
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer | AsyncIterable<Uint8Array> | null
+}
+
+/**
+ * Books a slot on an endpoint of a service.
+ *
+ * @param ctx - Shared parts of the host.
+ * @param requestId - Id of the request.
+ * @param match - Service and route.
+ * @param signal - Gives up.
+ * @returns The booking; it must be released.
+ */
+export async function bookService (
+  ctx: HostContext, requestId: string, { service, route }: ServiceMatch, signal: AbortSignal
+): Promise<Booking> {
+  return await ctx.booker.book({
+    requestId,
+    attempt: 1,
+    stage: BookingStage.Service,
+    poolId: service.pool,
+    pieces: 0,
+    transferBytes: 0,
+    startInMs: 0,
+    expectedMs: route.ttftMs,
+    exclude: [],
+    prefer: [],
+    priority: PRIORITIES.indexOf(route.class)
+  }, signal)
+}
+
+/**
+ * Sends a call once to the booked endpoint.
+ *
+ * @param ctx - Shared parts of the host.
+ * @param send - What to send.
+ * @param booking - Slot.
+ * @param signal - Cancels the call.
+ * @returns The endpoint's answer.
+ * @throws RequestError with effect `No` only when no byte has left.
+ */
+export async function callService (ctx: HostContext, send: ServiceSend, booking: Booking, signal: AbortSignal): Promise<ServiceAnswer> {
+  const { url } = fleetIndex(ctx.fleet()).endpoint(booking.endpointId)
+  const { id: hostId, incarnation } = ctx.identity
+  const key = send.idempotencyKey === undefined ? {} : { idempotencyKey: send.idempotencyKey }
+  const tag = { requestId: send.requestId, attempt: 1, hostId, incarnation, ...key }
+  return await ctx.services.send({ ...send, url, body: streamOf(send.body), tag }, signal)
+}
+
+/**
+ * @param req - Request of a caller or peer.
+ * @returns Its headers without those of the connection and of the system.
+ */
+export function forwardedHeaders (req: IncomingMessage): Record<string, string> {
+  return keep(req.headers, name => !DROPPED_HEADERS.includes(name))
+}
+
+/**
+ * @param headers - Headers of an endpoint's answer.
+ * @returns Those that a caller gets.
+ */
+export function answerHeaders (headers: IncomingHttpHeaders): Record<string, string> {
+  return keep(headers, name => name === 'content-length' || !DROPPED_HEADERS.includes(name))
+}
+
+/**
+ * Makes a signal that aborts at a deadline.
+ *
+ * @param budgetMs - Time from now, in milliseconds.
+ * @param signals - Signals that abort it earlier.
+ * @param owner - Releases the timer when it aborts.
+ * @returns The signal; past the deadline its reason is a RequestError of kind `Deadline`.
+ */
+export function deadlineSignal (budgetMs: number, signals: AbortSignal[], owner: AbortSignal): AbortSignal {
+  const controller = new AbortController()
+  const expire = (): void => controller.abort(
+    new RequestError(ErrorKind.Deadline, `the deadline of ${budgetMs} ms has passed`, { ran: RanState.Unknown })
+  )
+  const timer = setTimeout(expire, budgetMs)
+  owner.addEventListener('abort', () => clearTimeout(timer), { once: true })
+  return AbortSignal.any([...signals, controller.signal])
+}
+
+function keep (headers: IncomingHttpHeaders, wanted: (name: string) => boolean): Record<string, string> {
+  const entries = Object.entries(headers).filter(([name, value]) => value !== undefined && wanted(name))
+  return Object.fromEntries(entries.map(([name, value]) => [name, String(value)]))
+}
+
+function streamOf (body: ServiceSend['body']): AsyncIterable<Uint8Array> | null {
+  if (!Buffer.isBuffer(body)) return body
+  return body.byteLength === 0 ? null : chunkOf(body)
+}
+
+async function * chunkOf (body: Buffer): AsyncIterable<Uint8Array> {
+  yield body
+}
--- a/packages/daemon/src/peers/JaymillRefusingPeerHandlers.ts
+++ b/packages/daemon/src/peers/JaymillRefusingPeerHandlers.ts
@@ -1,6 +1,5 @@
 import {
-  Booking, BookingHandler, ErrorKind, Heartbeat, HeartbeatHandler, HighWaterAnswer, ConfigHandler, LeaseAnswer,
-  LeaseHandler, PublishedDocument, RequestError
+  Booking, BookingHandler, ErrorKind, Heartbeat, HeartbeatHandler, HighWaterAnswer, ConfigHandler, PublishedDocument, RequestError
 } from '@jaymill/core'
 
 function refuse (): never {
@@ -38,11 +37,3 @@
     return refuse()
   }
 }
-
-/** Confirms no lease. */
-export class RefusingLeaseHandler extends LeaseHandler {
-  /** {@inheritDoc @jaymill/core#LeaseHandler.confirmLease} */
-  async confirmLease (): Promise<LeaseAnswer> {
-    return refuse()
-  }
-}
--- a/packages/settings/src/JaymillFleetSchema.ts
+++ b/packages/settings/src/JaymillFleetSchema.ts
@@ -91,7 +91,12 @@
     zone: idField('Availability zone.'),
     region: idField('Region.'),
     peerUrl: urlField('Base URL of its peer listener, with an IP number.'),
-    state: z.enum(HostState).default(HostState.Live).meta({ description: 'A leaving host gets no new work.' })
+    state: z.enum(HostState).default(HostState.Live).meta({ description: 'A leaving host gets no new work.' }),
+    slot: idField('Name by which keys are placed; default: the id. A replacement that takes over the name moves no other keys.').optional()
   })).meta({ description: 'Hosts of the system.' }),
-  leavingEndpoints: z.array(idField('Id of an endpoint.')).default([]).meta({ description: 'Endpoints that are leaving.' })
+  leavingEndpoints: z.array(idField('Id of an endpoint.')).default([]).meta({ description: 'Endpoints that are leaving.' }),
+  coldStart: z.strictObject({
+    revision: countField(1, Unit.None, 'Revision of this list; the declaration has no effect under other revisions.'),
+    atMs: countField(1, Unit.Milliseconds, 'Wall-clock time since the Unix epoch, by which nothing acts under earlier lists.')
+  }).optional().meta({ description: 'Declares that a majority of every earlier list has been stopped.' })
 })
