Measure the request path and idle hosts, and stop a real process under load

Cause: no figure for what a host adds or costs; the graceful stop was shown only inside one process. Change: `npm run bench` runs compiled daemons before stand-ins without delays: added time to the first token, ratio of time per token, processor time per completion and token as slopes, idle cost at several numbers of hosts. Failure tests start daemons as processes.

--- /dev/null
+++ b/packages/bench/src/__tests__/failure/JaymillHostProcesses.test.ts
@@ -0,0 +1,51 @@
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { DemoCaller } from '../../demo/JaymillDemoCaller.js'
+import { wearReport } from '../../demo/JaymillDemoReports.js'
+import { isWhole } from '../../demo/JaymillDemoScenarios.js'
+import { until } from '../../demo/JaymillUntil.js'
+import { ProcessSite } from '../../processes/JaymillProcessSite.js'
+
+const TOKENS = 120
+const HOSTS = 3
+
+let owner: AbortController
+let site: ProcessSite
+
+beforeEach(async () => {
+  owner = new AbortController()
+  site = new ProcessSite(2, {})
+  await site.start(HOSTS, owner.signal)
+})
+afterEach(async () => {
+  owner.abort()
+  await Promise.all(site.hosts.map(async host => await host.exited()))
+})
+
+const callerOf = async (index: number): Promise<DemoCaller> => new DemoCaller((await site.hosts[index]?.listening())?.caller ?? '')
+const heldPieces = (): number => [...site.prefill, ...site.decode].reduce((sum, { heldPieces }) => sum + heldPieces, 0)
+
+describe('a host process', () => {
+  test('that is told to stop ends its streams, refuses new work as not run and exits with 0', async () => {
+    const caller = await callerOf(0)
+    const prompts = [wearReport(1), wearReport(2)]
+    const started = new Set<string>()
+    const running = prompts.map(async prompt => await caller.stream(prompt, TOKENS, { onEvent: () => started.add(prompt) }))
+    await until('streams started', () => started.size === prompts.length)
+    site.hosts[0]?.signal('SIGTERM')
+    await until('host not ready', async () => !(await fetch(`${(await site.hosts[0]?.listening())?.admin ?? ''}/readyz`)).ok)
+    const late = await caller.stream(wearReport(3), TOKENS)
+    expect(late.problem).toMatchObject({ type: 'urn:jaymill:error:stopping', ran: 'no' })
+    const answers = await Promise.all(running)
+    expect(answers.map((answer, i) => isWhole(prompts[i] ?? '', TOKENS, answer))).toEqual([true, true])
+    expect(await site.hosts[0]?.exited()).toBe(0)
+  })
+
+  test('whose caller hangs up frees engine memory', async () => {
+    const hangUp = new AbortController()
+    const caller = await callerOf(1)
+    const onEvent = (count: number): void => { if (count === 3) hangUp.abort() }
+    await caller.stream(wearReport(4), 5_000, { onEvent, signal: hangUp.signal }).catch(() => undefined)
+    await until('pieces freed', () => heldPieces() === 0)
+    expect(site.decode.some(({ running }) => running > 0)).toBe(false)
+  })
+})
--- /dev/null
+++ b/packages/bench/src/speed/main.ts
@@ -0,0 +1,28 @@
+#!/usr/bin/env node
+import { cpus, totalmem } from 'node:os'
+import sade from 'sade'
+import { measureIdle } from './JaymillIdleSpeed.js'
+import { measureRequests } from './JaymillRequestSpeed.js'
+
+const DEFAULT_COUNTS = '3,7,21'
+const GIB = 1_073_741_824
+
+async function main (opts: { hosts: string | number }): Promise<void> {
+  const owner = new AbortController()
+  console.log(JSON.stringify({ node: process.version, cores: cpus().length, memoryGiB: Math.round(totalmem() / GIB) }))
+  await measureRequests(owner.signal)
+  for (const count of String(opts.hosts).split(',').map(Number)) await measureIdle(count, owner.signal)
+  owner.abort()
+  process.exit(0)
+}
+
+sade('bench', true)
+  .describe('Measures speed on loopback; one JSON line for each figure.')
+  .option('--hosts', 'Numbers of hosts whose idle cost is measured', DEFAULT_COUNTS)
+  .action((opts: { hosts: string | number }) => {
+    main(opts).catch(err => {
+      console.error(err)
+      process.exit(1)
+    })
+  })
+  .parse(process.argv)
