Deepen the admin API, and add metrics, redaction and the real platform reader to the daemon

Cause: operators had status, requests and drain only; logs showed failures as empty objects and could show secrets; the daemon read the platform without limits and could not read files.

Change: /endpoints, /burn, /config, filters and limits of /requests, TLS on the admin listener, status sections; a metrics listener with bounded labels; redaction of secrets in log lines; finished requests reported to log, metrics and burn; createPlatformReader in place of the first reader.

Conclusion: what happens on a host can be seen without reaching into it.

--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -1,16 +1,19 @@
-import { ErrorKind, HostIdentity, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
+import { BurnRecorder, ErrorKind, HostIdentity, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
 import { HttpServiceClient, PeerHandlers, UndiciEngineClient } from '@jaymill/adapters'
 import { HostSettings, readSecret } from '@jaymill/settings'
 import type { Logger } from 'winston'
+import { revisionOf } from './admin/JaymillAdminRouter.js'
 import { AdminServer } from './admin/JaymillAdminServer.js'
 import { CallerServer } from './callers/JaymillCallerServer.js'
+import { createHostPlatform } from './config/JaymillHostPlatform.js'
 import { PublishedDocuments } from './config/JaymillPublishedDocuments.js'
-import { ThinPlatformReader } from './config/JaymillThinPlatformReader.js'
 import type { HostContext } from './JaymillHostContext.js'
 import { ForwardServer } from './idempotency/JaymillForwardServer.js'
 import { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
 import { OwnedRequests } from './idempotency/JaymillOwnedRequests.js'
 import { createHostLogger } from './logging/JaymillLogger.js'
+import { HostMetrics } from './metrics/JaymillHostMetrics.js'
+import { MetricsServer } from './metrics/JaymillMetricsServer.js'
 import { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 import {
   RefusingBookingHandler, RefusingConfigHandler, RefusingHeartbeatHandler
@@ -27,6 +30,7 @@
   readonly caller: string
   readonly admin: string
   readonly peer: string
+  readonly metrics: string
 }
 
 /** One host of the system: listeners, published documents and what serves requests. */
@@ -57,6 +61,8 @@
       identity,
       clock,
       log,
+      metrics: new HostMetrics(),
+      burn: new BurnRecorder(),
       random: new SystemRandom(),
       requests: new RequestLog(REQUESTS_KEPT),
       engines: new UndiciEngineClient({ signal: this._owner.signal }),
@@ -68,7 +74,7 @@
       hosts: () => documents.hosts(),
       draining: () => this._draining
     }
-    this._platform = new ThinPlatformReader(settings.platform)
+    this._platform = createHostPlatform(this._ctx, secrets, () => documents.ready ? documents.hosts() : undefined)
     this._owned = new OwnedRequests(this._ctx, this._owner.signal)
     this._callers = new CallerServer(this._ctx, this._owned)
     this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', secrets), {
@@ -87,6 +93,7 @@
     const urls = {
       caller: await this._callers.listen(),
       admin: await this._admin.listen(),
+      metrics: await this._listenMetrics(),
       peer: await this._ctx.peers.listen(this._peerHandlers(), (req, res) => forwards.handle(req, res))
     }
     this._ctx.keys.start(this._owner.signal)
@@ -112,6 +119,18 @@
     this._admin.close()
   }
 
+  private async _listenMetrics (): Promise<string> {
+    const { metrics, settings } = this._ctx
+    metrics.watch({
+      running: () => this._callers.inFlight,
+      ready: () => this._ready,
+      draining: () => this._draining,
+      fleetRevision: () => revisionOf(() => this._documents.fleet()),
+      hostListRevision: () => revisionOf(() => this._documents.hosts())
+    })
+    return await new MetricsServer(metrics, this._owner.signal).listen(settings.listen.metrics)
+  }
+
   private _peerHandlers (): PeerHandlers {
     return {
       heartbeat: new RefusingHeartbeatHandler(),
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -1,10 +1,11 @@
 import type {
-  Clock, EngineClient, FleetConfig, HostIdentity, HostList, Random, RequestLog, SlotBooker
+  BurnRecorder, Clock, EngineClient, FleetConfig, HostIdentity, HostList, Random, RequestLog, SlotBooker
 } from '@jaymill/core'
 import type { HttpServiceClient } from '@jaymill/adapters'
 import type { HostSettings } from '@jaymill/settings'
 import type { Logger } from 'winston'
 import type { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
+import type { HostMetrics } from './metrics/JaymillHostMetrics.js'
 import type { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 
 /** What the rooms of the daemon share. */
@@ -14,6 +15,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: Logger
+  readonly metrics: HostMetrics
+  readonly burn: BurnRecorder
   readonly requests: RequestLog
   readonly engines: EngineClient
   readonly services: HttpServiceClient
--- a/packages/daemon/src/admin/JaymillAdminServer.ts
+++ b/packages/daemon/src/admin/JaymillAdminServer.ts
@@ -1,26 +1,20 @@
 import { once } from 'node:events'
-import { createHash, timingSafeEqual } from 'node:crypto'
-import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer as createTlsServer } from 'node:https'
 import type { AddressInfo } from 'node:net'
-import { ErrorKind, RequestError } from '@jaymill/core'
 import { sendProblem } from '../callers/JaymillProblemReply.js'
 import type { HostContext } from '../JaymillHostContext.js'
+import { readTlsFiles } from '../ports/JaymillTlsFiles.js'
+import { ADMIN_REQUEST_TIMEOUT_MS } from './constants.js'
+import { checkAdminToken } from './JaymillAdminAuth.js'
+import { AdminRouter, type AdminActions } from './JaymillAdminRouter.js'
 
-/** What the administration API can do to its host. */
-export interface AdminActions {
-  /** Starts a graceful stop. */
-  readonly drain: () => void
-  /** Whether the host takes new work. */
-  readonly ready: () => boolean
-}
-
-const EXPLAIN = /^\/requests\/([^/]+)\/explain$/
-
-/** Listener for operators. */
+/** Listener for operators; with TLS when the settings name a certificate. */
 export class AdminServer {
   private readonly _ctx: HostContext
   private readonly _actions: AdminActions
   private readonly _token: string
+  private readonly _router: AdminRouter
   private readonly _server: Server
 
   /**
@@ -32,7 +26,11 @@
     this._ctx = ctx
     this._token = token
     this._actions = actions
-    this._server = createServer((req, res) => this._serve(req, res))
+    this._router = new AdminRouter(ctx, actions)
+    const { tls, limits } = ctx.settings
+    const options = { maxHeaderSize: limits.headerBytes, requestTimeout: ADMIN_REQUEST_TIMEOUT_MS }
+    const serve = (req: IncomingMessage, res: ServerResponse): void => this._serve(req, res)
+    this._server = tls === undefined ? createServer(options, serve) : createTlsServer({ ...options, ...readTlsFiles(tls) }, serve)
   }
 
   /**
@@ -44,7 +42,8 @@
     const { address, port } = this._ctx.settings.listen.admin
     this._server.listen(port, address)
     await once(this._server, 'listening')
-    return `http://${address}:${(this._server.address() as AddressInfo).port}`
+    const scheme = this._ctx.settings.tls === undefined ? 'http' : 'https'
+    return `${scheme}://${address}:${(this._server.address() as AddressInfo).port}`
   }
 
   /** Closes the listener and every connection. */
@@ -54,57 +53,20 @@
   }
 
   private _serve (req: IncomingMessage, res: ServerResponse): void {
+    req.resume()
     try {
-      const path = new URL(req.url ?? '/', 'http://admin').pathname
-      if (path === '/livez') return reply(res, 200, { live: true })
-      if (path === '/readyz') return reply(res, this._actions.ready() ? 200 : 503, { ready: this._actions.ready() })
-      this._authorize(req)
-      reply(res, 200, this._answer(req.method ?? 'GET', path))
+      const url = new URL(req.url ?? '/', 'http://admin')
+      if (url.pathname === '/livez') return reply(res, 200, { live: true })
+      if (url.pathname === '/readyz') return reply(res, this._actions.ready() ? 200 : 503, { ready: this._actions.ready() })
+      checkAdminToken(req.headers.authorization, this._token)
+      reply(res, 200, this._router.answer(req.method ?? 'GET', url))
     } catch (err) {
       sendProblem(res, err)
     }
   }
-
-  private _authorize (req: IncomingMessage): void {
-    const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
-    if (timingSafeEqual(digest(req.headers.authorization ?? ''), digest(`Bearer ${this._token}`))) return
-    throw new RequestError(ErrorKind.Unauthorized, 'the admin token is missing or wrong')
-  }
-
-  private _answer (method: string, path: string): unknown {
-    const explained = EXPLAIN.exec(path)?.[1]
-    if (method === 'POST' && path === '/drain') return this._drain()
-    if (path === '/status') return this._status()
-    if (path === '/requests') return this._ctx.requests.all().map(record => record.view())
-    if (explained !== undefined) return this._explain(decodeURIComponent(explained))
-    throw new RequestError(ErrorKind.NotFound, `no such resource: ${method} ${path}`)
-  }
-
-  private _drain (): object {
-    this._actions.drain()
-    return { draining: true }
-  }
-
-  private _status (): object {
-    return {
-      host: this._ctx.identity,
-      ready: this._actions.ready(),
-      draining: this._ctx.draining(),
-      fleetRevision: this._ctx.fleet().revision,
-      hostListRevision: this._ctx.hosts().revision,
-      idempotency: this._ctx.keys.status(),
-      running: this._ctx.requests.running.length
-    }
-  }
-
-  private _explain (requestId: string): unknown {
-    const record = this._ctx.requests.find(requestId)
-    if (record === undefined) throw new RequestError(ErrorKind.NotFound, `request ${requestId} is not known on this host`)
-    return record.view()
-  }
 }
 
 function reply (res: ServerResponse, status: number, value: unknown): void {
-  res.writeHead(status, { 'Content-Type': 'application/json' })
+  res.writeHead(status, { 'Content-Type': 'application/json', 'Cache-Control': 'no-store' })
   res.end(JSON.stringify(value))
 }
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { randomUUID } from 'node:crypto'
-import { ErrorKind, fleetIndex, RanState, RequestError } from '@jaymill/core'
+import { ErrorKind, fleetIndex, RanState, RequestError, toProblem } from '@jaymill/core'
 import type { OwnedRequests } from '../idempotency/JaymillOwnedRequests.js'
 import type { HostContext } from '../JaymillHostContext.js'
 import { callerSignal, CallerExchange } from './JaymillCallerExchange.js'
@@ -90,6 +90,7 @@
       await this._dispatch({ req, res, headers, account, signal: callerSignal(res) })
     } catch (err) {
       this._ctx.log.warn('request refused or failed', { requestId, err })
+      this._ctx.metrics.countProblem(toProblem(err).title)
       sendProblem(res, err, requestId)
     } finally {
       if (!req.complete) req.resume()
--- a/packages/daemon/src/peers/JaymillPeerNetwork.ts
+++ b/packages/daemon/src/peers/JaymillPeerNetwork.ts
@@ -1,7 +1,7 @@
-import { readFileSync } from 'node:fs'
 import { createPeerClient, createPeerServer, ForwardHandler, PeerClient, PeerHandlers, PeerServer, PeerTls } from '@jaymill/adapters'
 import { ErrorKind, HostEntry, HostList, invariant, RequestError } from '@jaymill/core'
 import type { HostSettings } from '@jaymill/settings'
+import { readTlsFiles } from '../ports/JaymillTlsFiles.js'
 
 interface Connection {
   readonly url: string
@@ -28,7 +28,7 @@
   constructor (settings: HostSettings, token: string, hosts: () => HostList, signal: AbortSignal) {
     this._settings = settings
     this._token = token
-    this._tls = settings.tls === undefined ? undefined : readTls(settings.tls)
+    this._tls = settings.tls === undefined ? undefined : readTlsFiles(settings.tls)
     this._hosts = hosts
     this._signal = signal
   }
@@ -97,8 +97,3 @@
     return this._tls === undefined ? {} : { tls: this._tls }
   }
 }
-
-function readTls ({ keyPath, certPath, caPath }: NonNullable<HostSettings['tls']>): PeerTls {
-  const read = (path: string): string => readFileSync(path, 'utf8')
-  return { key: read(keyPath), cert: read(certPath), ca: read(caPath ?? certPath) }
-}
--- a/packages/daemon/src/requests/JaymillRecordEnd.ts
+++ b/packages/daemon/src/requests/JaymillRecordEnd.ts
@@ -1,5 +1,6 @@
 import { ErrorKind, JaymillError, RanState, RequestEvent, RequestRecord } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
+import { reportRequest } from './JaymillRequestReporter.js'
 
 /**
  * Runs the work of a request and closes its record with the outcome.
@@ -23,7 +24,6 @@
     record.end({ ran: known?.ran ?? RanState.Unknown, errorKind: known?.kind ?? ErrorKind.Invariant }, ctx.clock.nowMs())
     throw err
   } finally {
-    const { requestId, routeId, errorKind, ran, state } = record.view()
-    ctx.log.info('request ended', { requestId, routeId, state, ran, errorKind })
+    reportRequest(ctx, record)
   }
 }
