Track other hosts and decide which configuration is in force

Cause: hosts need their own view of one another, and one rule for which published document is in force while the platform is down, stale or back with an older value.

Change: membership by published list, direct heartbeats and passed-on news with an xstate machine for each peer; a view of leaving endpoints; an authority for each document (highest revision wins, a conflict is refused), fetches from peers, a gate for fresh and paused hosts, and the choice of platform watchers by rendezvous.

Conclusion: the daemon can be wired to it.

--- /dev/null
+++ b/packages/core/src/__tests__/unit/JaymillMembership.test.ts
@@ -0,0 +1,141 @@
+import { describe, expect, test } from 'vitest'
+import {
+  EndpointAvailability, GONE_AFTER_SUSPECT_MS, Heartbeat, HostList, HostState, LEAVING_MARK_MS, Membership, MembershipEffect,
+  MembershipEffectKind, PAUSE_GAP_MS, PeerStatus, SUSPECT_AFTER_MS
+} from '../../index.js'
+
+const STEP_MS = 200
+const FACTS = { documents: [], platformAgeMs: null, leavingEndpoints: [], health: '' }
+
+const listOf = (count: number): HostList => ({
+  revision: 1,
+  hosts: Array.from({ length: count }, (_, i) => ({
+    id: `host-${i}`, zone: `zone-${i % 5}`, region: `region-${i % 2}`, peerUrl: `http://127.0.0.1:${i}`, state: HostState.Live
+  })),
+  leavingEndpoints: []
+})
+
+/** Membership of several hosts whose heartbeats arrive at once unless the link is cut. */
+class Fleet {
+  nowMs = 0
+  readonly hosts = new Map<string, Membership>()
+  readonly effects: MembershipEffect[] = []
+  readonly down = new Set<string>()
+  cut: (from: string, to: string) => boolean = () => false
+
+  constructor (count: number) {
+    const list = listOf(count)
+    list.hosts.forEach(host => this.hosts.set(host.id, new Membership({ ...host, incarnation: 1 }, 0)))
+    this.hosts.forEach(host => host.adoptList(list, 0))
+  }
+
+  get (id: string): Membership {
+    return this.hosts.get(id) as Membership
+  }
+
+  run (ms: number): void {
+    Array.from({ length: ms / STEP_MS }).forEach(() => {
+      this.nowMs += STEP_MS
+      const up = [...this.hosts].filter(([id]) => !this.down.has(id))
+      up.forEach(([id, host]) => this.deliver(id, host.tick(this.nowMs)))
+    })
+  }
+
+  deliver (from: string, effects: readonly MembershipEffect[]): void {
+    this.effects.push(...effects.filter(({ kind }) => kind !== MembershipEffectKind.Send))
+    effects.forEach(effect => { if (effect.kind === MembershipEffectKind.Send) this._exchange(from, effect.hostId) })
+  }
+
+  views (of: string): PeerStatus[] {
+    return [...this.hosts].filter(([id]) => id !== of && !this.down.has(id)).map(([, host]) => host.statusOf(of))
+  }
+
+  private _exchange (from: string, to: string): void {
+    if (this.down.has(to) || this.cut(from, to)) return
+    const [sender, receiver] = [this.get(from), this.get(to)]
+    this.deliver(to, receiver.receive(sender.beat(FACTS, to), this.nowMs))
+    this.deliver(from, sender.receive(receiver.beat(FACTS, from), this.nowMs))
+  }
+}
+
+const beatOf = (part: Partial<Heartbeat>): Heartbeat => ({ ...FACTS, from: 'host-1', incarnation: 1, seq: 1, state: HostState.Live, updates: [], ...part })
+const all = (status: PeerStatus) => (views: readonly PeerStatus[]) => views.every(view => view === status)
+
+describe('Membership', () => {
+  test('every host learns of a dead one, of its restart, and blames nobody else', () => {
+    const fleet = new Fleet(60)
+    fleet.run(10_000)
+    expect(fleet.effects.filter(effect => effect.kind === MembershipEffectKind.PeerChanged && effect.status !== PeerStatus.Live)).toEqual([])
+    fleet.down.add('host-9')
+    fleet.run(SUSPECT_AFTER_MS + GONE_AFTER_SUSPECT_MS + 10_000)
+    expect(fleet.views('host-9')).toSatisfy(all(PeerStatus.Gone))
+    expect(fleet.views('host-8')).toSatisfy(all(PeerStatus.Live))
+    const restarted = new Membership({ id: 'host-9', zone: 'zone-4', region: 'region-1', incarnation: 2 }, fleet.nowMs)
+    restarted.adoptList(listOf(60), fleet.nowMs)
+    fleet.hosts.set('host-9', restarted)
+    fleet.down.delete('host-9')
+    fleet.run(20_000)
+    expect(fleet.views('host-9')).toSatisfy(all(PeerStatus.Live))
+    expect(fleet.get('host-3').incarnationOf('host-9')).toBe(2)
+  })
+
+  test('a stopping host is known to be leaving by all within 5 s and stays so', () => {
+    const fleet = new Fleet(60)
+    fleet.run(10_000)
+    fleet.deliver('host-9', fleet.get('host-9').leave(fleet.nowMs))
+    fleet.run(5_000)
+    expect(fleet.views('host-9')).toSatisfy(all(PeerStatus.Leaving))
+    fleet.run(10_000)
+    expect(fleet.views('host-9')).toSatisfy(all(PeerStatus.Leaving))
+  })
+
+  test('one cut link does not make a host gone', () => {
+    const fleet = new Fleet(7)
+    fleet.cut = (from, to) => [from, to].every(id => ['host-1', 'host-2'].includes(id))
+    fleet.run(60_000)
+    expect(fleet.effects.some(effect => effect.kind === MembershipEffectKind.PeerChanged && effect.status === PeerStatus.Gone)).toBe(false)
+  })
+
+  test('a woken host blames nobody, says that it was paused and learns that it was given up', () => {
+    const fleet = new Fleet(7)
+    fleet.run(10_000)
+    fleet.down.add('host-1')
+    fleet.run(60_000)
+    fleet.down.delete('host-1')
+    fleet.effects.length = 0
+    expect(fleet.get('host-1').isPaused(fleet.nowMs)).toBe(true)
+    fleet.run(10_000)
+    expect(fleet.effects.filter(({ kind }) => kind === MembershipEffectKind.Paused)).toEqual([{ kind: 'paused', gapMs: 60_000 + STEP_MS }])
+    expect(fleet.effects.some(({ kind }) => kind === MembershipEffectKind.DeclaredGone)).toBe(true)
+    expect(fleet.effects.some(effect => effect.kind === MembershipEffectKind.PeerChanged && effect.status === PeerStatus.Gone)).toBe(false)
+    expect(fleet.views('host-1')).toSatisfy(all(PeerStatus.Live))
+  })
+
+  test('late heartbeats of an earlier incarnation change nothing', () => {
+    const host = new Membership({ id: 'host-0', zone: 'z', region: 'r', incarnation: 1 }, 0)
+    host.adoptList(listOf(3), 0)
+    host.receive(beatOf({ incarnation: 5 }), 0)
+    expect(host.receive(beatOf({ incarnation: 4, seq: 99, state: HostState.Leaving }), 1)).toEqual([])
+    expect(host.receive(beatOf({ from: 'stranger', updates: [{ id: 'nobody', incarnation: 1, seq: 1, status: PeerStatus.Gone }] }), 1)).toEqual([])
+    expect([host.incarnationOf('host-1'), host.statusOf('host-1')]).toEqual([5, PeerStatus.Live])
+    expect(host.isPaused(PAUSE_GAP_MS)).toBe(false)
+  })
+})
+
+describe('EndpointAvailability', () => {
+  test('a report holds at once, lapses when its first observer gave it, and is not renewed by passing it on', () => {
+    const [a, b] = [new EndpointAvailability(), new EndpointAvailability()]
+    a.adoptList({ ...listOf(1), leavingEndpoints: ['e1'] }, 0)
+    b.receive(a.marks(10_000), 10_000)
+    expect(b.accepts('e1', 10_000)).toBe(false)
+    a.receive(b.marks(20_000), 20_000)
+    expect(a.marks(LEAVING_MARK_MS)).toEqual([])
+    expect([a.accepts('e1', LEAVING_MARK_MS), b.accepts('e1', LEAVING_MARK_MS)]).toEqual([false, true])
+  })
+
+  test('a peer can not hold an endpoint out for longer than a report lasts', () => {
+    const view = new EndpointAvailability()
+    view.receive([{ endpointId: 'e1', expiresInMs: 1e12 }], 0)
+    expect(view.accepts('e1', LEAVING_MARK_MS)).toBe(true)
+  })
+})
--- a/packages/core/src/config/index.ts
+++ b/packages/core/src/config/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './JaymillConfigAuthority.js'
+export * from './JaymillConfigConstants.js'
+export * from './JaymillDocumentCodec.js'
+export * from './JaymillDocumentFetches.js'
+export * from './JaymillHighWaterGate.js'
+export * from './JaymillPlatformWatch.js'
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './JaymillEndpointAvailability.js'
+export * from './JaymillHeartbeatPartners.js'
+export * from './JaymillMembership.js'
+export * from './JaymillMembershipConstants.js'
+export * from './JaymillMembershipEffect.js'
