Read answers apart from runs, resume silent streams and keep suspects apart

A run belonged to the connection that asked for it: a resend ran the model again, a slow caller held an engine, and a silent connection was taken for a dead endpoint. Endpoint choice knew nothing of stragglers.

AnswerService runs a completion into a bounded buffer; connections read from it, the newest takes over, a resend with the same key joins, continues or replays. AnswerRecovery probes on a new connection, reads on from the last id or moves with prompt plus text so far, and frees memory at every endpoint left behind, prefill results included. HostHealth holds weights, budgets and quarantine; weights feed the booker, /health and /quarantine the admin API. The engine stand-in spares later attempts of a request when an earlier one is cancelled.

--- a/packages/adapters/src/endpoints/JaymillEngineProtocol.ts
+++ b/packages/adapters/src/endpoints/JaymillEngineProtocol.ts
@@ -12,7 +12,7 @@
 }
 
 /** Statuses with which an engine says that it did not start the call. */
-export const REFUSED_STATUSES: readonly number[] = [404, 429]
+export const REFUSED_STATUSES: readonly number[] = [404, 410, 429]
 /** Statuses with which an engine says that the call itself is wrong. */
 export const WRONG_CALL_STATUSES: readonly number[] = [400, 413, 422]
 /** Data of the event that ends a stream. */
--- a/packages/adapters/src/endpoints/JaymillTokenStream.ts
+++ b/packages/adapters/src/endpoints/JaymillTokenStream.ts
@@ -5,7 +5,8 @@
 
 /** Turns the bytes of a server-sent event stream into tokens, however the bytes are cut. */
 export class TokenStream {
-  private readonly _firstId: number
+  private readonly _offset: number
+  private _lastId: number
   private readonly _decoder = new TextDecoder()
   private readonly _parser: EventSourceParser
   private _tokens: TokenEvent[] = []
@@ -13,9 +14,11 @@
 
   /**
    * @param offset - Tokens that came before the engine's first id.
+   * @param lastId - Last id, as the engine counts, that arrived before this stream.
    */
-  constructor (offset: number) {
-    this._firstId = offset
+  constructor (offset: number, lastId = 0) {
+    this._offset = offset
+    this._lastId = lastId
     this._parser = createParser({
       maxBufferSize: MAX_EVENT_BYTES,
       onEvent: event => this._onEvent(event),
@@ -51,7 +54,9 @@
     }
     const id = Number(event.id)
     if (!Number.isSafeInteger(id) || id < 1) throw wrongStream('an event has no usable id')
-    this._tokens.push({ id: this._firstId + id, ...parseToken(event.data) })
+    if (id > this._lastId + 1) throw wrongStream(`events from ${this._lastId + 1} to ${id - 1} are missing`)
+    this._lastId = Math.max(this._lastId, id)
+    this._tokens.push({ id: this._offset + id, ...parseToken(event.data) })
   }
 }
 
--- a/packages/adapters/src/endpoints/JaymillUndiciEngineClient.ts
+++ b/packages/adapters/src/endpoints/JaymillUndiciEngineClient.ts
@@ -79,16 +79,16 @@
 
   /** {@inheritDoc EngineClient.decode} */
   decode (call: EngineCall, kv: KvTransferParams | null, signal: AbortSignal): AsyncIterable<TokenEvent> {
-    return this._stream(call, both => post(call, decodeBody(call, kv), both), ErrorKind.EndpointRefused, signal)
+    return this._stream(call, 0, both => post(call, decodeBody(call, kv), both), signal)
   }
 
   /** {@inheritDoc EngineClient.resume} */
   resume (call: EngineCall, lastId: number, signal: AbortSignal): AsyncIterable<TokenEvent> {
-    const lastEventId = String(lastId - call.generatedTokens)
-    const headers = { ...tagHeaders(call.tag), [EngineHeader.LastEventId]: lastEventId }
+    const lastEventId = lastId - call.generatedTokens
+    const headers = { ...tagHeaders(call.tag), [EngineHeader.LastEventId]: String(lastEventId) }
     const path = `/v1/requests/${encodeURIComponent(call.tag.requestId)}/stream`
     const build: BuildRequest = both => ({ method: 'GET', path, headers, signal: both, headersTimeout: 0, bodyTimeout: 0 })
-    return this._stream(call, build, ErrorKind.NotFound, signal)
+    return this._stream(call, lastEventId, build, signal, ErrorKind.NotFound)
   }
 
   /** {@inheritDoc EngineClient.probe} */
@@ -137,7 +137,9 @@
     return this._canceller.settled()
   }
 
-  private async * _stream (call: EngineCall, build: BuildRequest, missing: ErrorKind, signal: AbortSignal): AsyncGenerator<TokenEvent> {
+  private async * _stream (
+    call: EngineCall, lastId: number, build: BuildRequest, signal: AbortSignal, missing?: ErrorKind
+  ): AsyncGenerator<TokenEvent> {
     const exchange = new Exchange()
     const ctl = new AbortController()
     const both = AbortSignal.any([signal, ctl.signal])
@@ -148,7 +150,7 @@
       timer.wait(this._paceOf(call).firstTokenMs)
       const res = await exchange.request(pool, build(both))
       await checkStatus(res, call.endpointId, missing)
-      for await (const token of this._tokens(res, call, timer)) {
+      for await (const token of this._tokens(res, call, lastId, timer)) {
         settled ||= token.finishReason !== null
         yield token
       }
@@ -167,9 +169,11 @@
     }
   }
 
-  private async * _tokens (res: Dispatcher.ResponseData, call: EngineCall, timer: ProgressTimer): AsyncGenerator<TokenEvent> {
+  private async * _tokens (
+    res: Dispatcher.ResponseData, call: EngineCall, lastId: number, timer: ProgressTimer
+  ): AsyncGenerator<TokenEvent> {
     const { interTokenMs } = this._paceOf(call)
-    const stream = new TokenStream(call.generatedTokens)
+    const stream = new TokenStream(call.generatedTokens, lastId)
     let finished = false
     for await (const chunk of res.body) {
       const tokens = stream.push(chunk)
--- a/packages/bench/src/standins/JaymillEngineStandIn.ts
+++ b/packages/bench/src/standins/JaymillEngineStandIn.ts
@@ -43,7 +43,7 @@
   private readonly _opts: EngineStandInOptions
   private readonly _running = new Map<string, Generation>()
   private readonly _finished = new Map<string, Generation>()
-  private readonly _exported = new Map<string, { pieces: number, requestId: string, timer: NodeJS.Timeout }>()
+  private readonly _exported = new Map<string, { pieces: number, requestId: string, attempt: number, timer: NodeJS.Timeout }>()
   private _cancelled = 0
   private _paceFactor = 1
   private _killOnPrompt: string | undefined
@@ -105,7 +105,7 @@
     const url = new URL(req.url ?? '/', this.url)
     const [, id] = /^\/v1\/requests\/([^/]+)/.exec(url.pathname) ?? []
     if (url.pathname === '/v1/completions') return await this._complete(req, res)
-    if (id !== undefined && req.method === 'DELETE') return this._cancel(decodeURIComponent(id), res)
+    if (id !== undefined && req.method === 'DELETE') return this._cancel(decodeURIComponent(id), req, res)
     if (id !== undefined) return await this._resume(decodeURIComponent(id), req, res)
     if (url.pathname.startsWith('/kv/')) return this._take(url.pathname.slice('/kv/'.length), res)
     if (url.pathname === '/orders') return await this._orders(req, res)
@@ -172,7 +172,7 @@
     if (generation.cancel.signal.aborted) return sendJson(res, 499, { error: 'cancelled' })
     const block = `${generation.requestId}.${generation.attempt}`
     const timer = setTimeout(() => this._exported.delete(block), this._opts.kvTtlMs)
-    this._exported.set(block, { pieces: generation.pieces, requestId: generation.requestId, timer })
+    this._exported.set(block, { pieces: generation.pieces, requestId: generation.requestId, attempt: generation.attempt, timer })
     const { hostname, port } = new URL(this.url)
     sendJson(res, 200, {
       choices: [{ text: nextToken(prompt), finish_reason: 'length' }],
@@ -245,16 +245,17 @@
     await this._stream(generation, Number(req.headers['last-event-id'] ?? 0), res)
   }
 
-  private _cancel (requestId: string, res: ServerResponse): void {
-    const generation = this._running.get(requestId)
-    const exported = [...this._exported].filter(([, entry]) => entry.requestId === requestId)
+  private _cancel (requestId: string, req: IncomingMessage, res: ServerResponse): void {
+    const upTo = Number(req.headers['x-jaymill-attempt'] ?? Infinity)
+    const generation = [this._running.get(requestId)].find(found => found !== undefined && found.attempt <= upTo)
+    const exported = [...this._exported].filter(([, entry]) => entry.requestId === requestId && entry.attempt <= upTo)
     exported.forEach(([block, { timer }]) => {
       clearTimeout(timer)
       this._exported.delete(block)
     })
     generation?.cancel.abort()
     if (generation !== undefined) this._wake(generation)
-    this._running.delete(requestId)
+    if (generation !== undefined) this._running.delete(requestId)
     if (generation !== undefined || exported.length > 0) this._cancelled++
     sendJson(res, 200, {})
   }
--- a/packages/core/src/streams/JaymillAnswerAssembler.ts
+++ b/packages/core/src/streams/JaymillAnswerAssembler.ts
@@ -18,13 +18,15 @@
 /** Puts the events of all attempts of a request into one answer: complete, in order, each token once. */
 export class AnswerAssembler {
   private readonly _parts: string[] = []
-  private _attempt = 1
+  private _attempt: number
   private _finishReason: string | null = null
 
   /**
    * @param prefix - Tokens that an earlier run of the request left behind, from id 1.
+   * @param attempt - Number of the first attempt; larger than any of the earlier run.
    */
-  constructor (prefix: readonly TokenEvent[] = []) {
+  constructor (prefix: readonly TokenEvent[] = [], attempt = 1) {
+    this._attempt = attempt
     prefix.forEach(token => this._take(token))
   }
 
--- a/packages/core/src/streams/JaymillAnswerBuffer.ts
+++ b/packages/core/src/streams/JaymillAnswerBuffer.ts
@@ -65,6 +65,8 @@
 
 /** Tokens of one answer, from which one caller connection at a time reads at its own pace. */
 export class AnswerBuffer {
+  /** Largest attempt number that has run for it. */
+  attempt = 0
   private readonly _tokens: TokenEvent[] = []
   private _bytes = 0
   private _state = AnswerState.Running
@@ -109,10 +111,11 @@
   }
 
   /**
-   * @param token - Next token.
+   * @param token - Next token; ignored after the end.
    * @throws RequestError of kind `TooLarge` when the answer outgrows its bound.
    */
   append (token: TokenEvent): void {
+    if (this._state !== AnswerState.Running) return
     const size = Buffer.byteLength(token.text) + TOKEN_OVERHEAD_BYTES
     if (this._bytes + size > MAX_ANSWER_BYTES) {
       throw new RequestError(ErrorKind.TooLarge, 'the answer is larger than allowed', { ran: RanState.Yes })
--- a/packages/core/src/streams/JaymillAnswerStore.ts
+++ b/packages/core/src/streams/JaymillAnswerStore.ts
@@ -110,6 +110,24 @@
     this._dropEnded(() => this._bytes >= this._limits.maxBytes)
   }
 
+  /**
+   * @param key - Key given to `open`.
+   * @returns Whether an answer is held for it.
+   */
+  has (key: string): boolean {
+    return this._running.has(key) || this._ended.has(key)
+  }
+
+  /**
+   * Drops an answer that nobody can ask for again.
+   *
+   * @param key - Key given to `open`.
+   */
+  forget (key: string): void {
+    const entry = this._running.get(key) ?? this._ended.get(key)
+    if (entry !== undefined) this._drop(key, entry)
+  }
+
   private _full (): boolean {
     return this.size >= this._limits.maxAnswers || this._bytes >= this._limits.maxBytes
   }
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -7,6 +7,7 @@
 import { CallerServer } from './callers/JaymillCallerServer.js'
 import { createHostPlatform } from './config/JaymillHostPlatform.js'
 import { PublishedDocuments } from './config/JaymillPublishedDocuments.js'
+import { HostHealth } from './health/JaymillHostHealth.js'
 import type { HostContext } from './JaymillHostContext.js'
 import { ForwardServer } from './idempotency/JaymillForwardServer.js'
 import { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
@@ -56,6 +57,9 @@
     const secrets = new SystemSecretReader()
     const peerToken = readSecret(settings.credentials.peerToken, 'credentials.peerToken', secrets)
     const peers = new PeerNetwork(settings, peerToken, () => documents.hosts(), this._owner.signal)
+    const random = new SystemRandom()
+    const engines = new UndiciEngineClient({ signal: this._owner.signal })
+    const health = new HostHealth({ clock, random, log, identity, engines, fleet: () => documents.fleet() })
     this._ctx = {
       settings,
       identity,
@@ -63,13 +67,14 @@
       log,
       metrics: new HostMetrics(),
       burn: new BurnRecorder(),
-      random: new SystemRandom(),
+      random,
       requests: new RequestLog(REQUESTS_KEPT),
-      engines: new UndiciEngineClient({ signal: this._owner.signal }),
+      engines,
+      health,
       services: new HttpServiceClient({ signal: this._owner.signal }),
-      booker: new LocalSlotBooker(() => documents.fleet(), () => documents.hosts(), identity.id),
       peers,
       keys: new KeyOwnerDriver({ identity, limits: settings.limits, clock, log, peers, hosts: () => documents.hosts() }),
+      booker: new LocalSlotBooker(() => documents.fleet(), () => documents.hosts(), identity.id, health),
       fleet: () => documents.fleet(),
       hosts: () => documents.hosts(),
       draining: () => this._draining
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -6,6 +6,7 @@
 import type { Logger } from 'winston'
 import type { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
 import type { HostMetrics } from './metrics/JaymillHostMetrics.js'
+import type { HostHealth } from './health/JaymillHostHealth.js'
 import type { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 
 /** What the rooms of the daemon share. */
@@ -21,6 +22,7 @@
   readonly engines: EngineClient
   readonly services: HttpServiceClient
   readonly booker: SlotBooker
+  readonly health: HostHealth
   readonly peers: PeerNetwork
   /** Owner of idempotency keys. */
   readonly keys: KeyOwnerDriver
--- a/packages/daemon/src/admin/JaymillAdminRouter.ts
+++ b/packages/daemon/src/admin/JaymillAdminRouter.ts
@@ -1,6 +1,7 @@
 import { ErrorKind, RequestError } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { burnView, configView, endpointViews, explainRequest, requestList } from './JaymillAdminViews.js'
+import { clearSuspect, healthView, quarantineView } from './JaymillHealthViews.js'
 
 /** What the administration API can do to its host. */
 export interface AdminActions {
@@ -42,6 +43,9 @@
       { method: 'GET', path: /^\/requests\/([^/]+)\/explain$/, answer: ({ id }) => explainRequest(ctx, id) },
       { method: 'GET', path: /^\/burn$/, answer: ({ query }) => burnView(ctx, query) },
       { method: 'GET', path: /^\/config$/, answer: () => configView(ctx) },
+      { method: 'GET', path: /^\/health$/, answer: () => healthView(ctx) },
+      { method: 'GET', path: /^\/quarantine$/, answer: () => quarantineView(ctx) },
+      { method: 'DELETE', path: /^\/quarantine\/([0-9a-f]{16})$/, answer: ({ id }) => clearSuspect(ctx, id) },
       { method: 'POST', path: /^\/drain$/, answer: () => this._drain() }
     ]
   }
--- a/packages/daemon/src/callers/JaymillCompletionRoute.ts
+++ b/packages/daemon/src/callers/JaymillCompletionRoute.ts
@@ -1,8 +1,10 @@
-import { ErrorKind, fleetIndex, ModelConfig, RequestError, RequestRecord, RouteClass, RouteConfig } from '@jaymill/core'
+import { randomUUID } from 'node:crypto'
+import { ErrorKind, fleetIndex, ModelConfig, RequestError, RequestRecord, RouteClass, RouteConfig, TokenEvent } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
-import { CompletionJob } from '../requests/JaymillCompletionJob.js'
+import { CompletionOrder } from '../requests/JaymillCompletionJob.js'
 import { CompletionRunner } from '../requests/JaymillCompletionRunner.js'
 import { endRecord } from '../requests/JaymillRecordEnd.js'
+import { AnswerService } from '../streams/JaymillAnswerService.js'
 import { parseJson, readBody } from './JaymillBody.js'
 import { CallerExchange, withDeadline } from './JaymillCallerExchange.js'
 import { CompletionBody, CompletionForm, parseCompletionBody } from './JaymillCompletionBody.js'
@@ -20,14 +22,14 @@
 /** Serves completions. */
 export class CompletionRoute {
   private readonly _ctx: HostContext
-  private readonly _runner: CompletionRunner
+  private readonly _answers: AnswerService
 
   /**
    * @param ctx - Shared parts of the host.
    */
   constructor (ctx: HostContext) {
     this._ctx = ctx
-    this._runner = new CompletionRunner(ctx)
+    this._answers = new AnswerService(ctx, new CompletionRunner(ctx))
   }
 
   /**
@@ -57,10 +59,10 @@
   ): Promise<void> {
     const owner = new AbortController()
     try {
-      const { signal } = withDeadline(exchange, route, owner.signal)
-      const job = this._job(exchange, body, model, route, record)
-      const events = this._counted(job, signal)
-      const meta = { requestId: job.requestId, created: Math.floor(this._ctx.clock.wallMs() / MS_PER_SECOND), stallMs: this._ctx.settings.limits.callerStallMs }
+      const { signal, budgetMs } = withDeadline(exchange, route, owner.signal)
+      const order = this._order(exchange, body, model, route, record, budgetMs)
+      const events = this._counted(order, exchange.headers.lastEventId ?? 0, signal)
+      const meta = { requestId: order.requestId, created: Math.floor(this._ctx.clock.wallMs() / MS_PER_SECOND), stallMs: this._ctx.settings.limits.callerStallMs }
       if (body.stream) await streamCompletion(exchange.res, body, meta, events, signal)
       else await sendCompletion(exchange.res, body, meta, events)
     } finally {
@@ -68,17 +70,18 @@
     }
   }
 
-  private async * _counted (job: CompletionJob, signal: AbortSignal): ReturnType<CompletionRunner['run']> {
-    for await (const event of this._runner.run(job, signal)) {
-      job.record.noteTokens(this._ctx.clock.nowMs())
+  private async * _counted (order: CompletionOrder, lastId: number, signal: AbortSignal): AsyncGenerator<TokenEvent> {
+    for await (const event of this._answers.read(order, lastId, signal)) {
+      order.record.noteTokens(this._ctx.clock.nowMs())
       yield event
     }
   }
 
-  private _job (
-    exchange: CallerExchange, body: CompletionBody, model: ModelConfig, route: RouteConfig, record: RequestRecord
-  ): CompletionJob {
+  private _order (
+    exchange: CallerExchange, body: CompletionBody, model: ModelConfig, route: RouteConfig, record: RequestRecord, budgetMs: number
+  ): CompletionOrder {
     return {
+      runId: randomUUID(),
       requestId: exchange.headers.requestId,
       idempotencyKey: exchange.headers.idempotencyKey,
       account: exchange.account,
@@ -88,7 +91,8 @@
       prompt: body.prompt,
       maxTokens: body.maxTokens,
       sampling: body.sampling,
-      record
+      record,
+      deadlineAtMs: this._ctx.clock.nowMs() + budgetMs
     }
   }
 
--- a/packages/daemon/src/requests/JaymillCompletionJob.ts
+++ b/packages/daemon/src/requests/JaymillCompletionJob.ts
@@ -1,9 +1,11 @@
-import type { AccountConfig, ModelConfig, RequestRecord, RouteConfig } from '@jaymill/core'
+import type { AccountConfig, ModelConfig, RequestRecord, RouteConfig, TokenEvent } from '@jaymill/core'
 
 const CHARS_PER_TOKEN = 4
 
-/** One completion to be run. */
-export interface CompletionJob {
+/** What a caller asks for. */
+export interface CompletionOrder {
+  /** Unique in this process. */
+  readonly runId: string
   readonly requestId: string
   /** Key given by the caller, if any. */
   readonly idempotencyKey: string | undefined
@@ -16,6 +18,18 @@
   readonly maxTokens: number
   readonly sampling: Readonly<Record<string, unknown>>
   readonly record: RequestRecord
+  /** Monotonic time after which the caller no longer wants the answer, in milliseconds. */
+  readonly deadlineAtMs: number
+}
+
+/** One completion to be run. */
+export interface CompletionJob extends CompletionOrder {
+  /** Tokens that a stopped run left behind. */
+  readonly prefix: readonly TokenEvent[]
+  /** Number of the first attempt; larger than any of a stopped run. */
+  readonly firstAttempt: number
+  /** Hash of what runs on engines. */
+  readonly fingerprint: string
 }
 
 /**
--- a/packages/daemon/src/requests/JaymillCompletionRunner.ts
+++ b/packages/daemon/src/requests/JaymillCompletionRunner.ts
@@ -1,20 +1,17 @@
 import {
-  Booking, BookingRequest, BookingStage, EngineCall, ErrorKind, fleetIndex, JaymillError, KvTransferParams, RanState, RequestError,
-  RequestEvent, RouteClass, TokenEvent
+  Booking, BookingRequest, BookingStage, EngineCall, fleetIndex, KvTransferParams, PaceMeasure, RequestEvent, RouteClass, TokenEvent
 } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
+import { AnswerRecovery } from '../streams/JaymillAnswerRecovery.js'
+import { expectedPrefillMs, paceOf } from '../streams/JaymillPaceWatch.js'
 import { CompletionJob, estimateTokens, piecesOf } from './JaymillCompletionJob.js'
 
-const MAX_ATTEMPTS = 4
-const EXPECTED_PREFILL_MS_PER_TOKEN = 0.05
-const RETRIED: readonly ErrorKind[] = [ErrorKind.EndpointFailed, ErrorKind.EndpointRefused, ErrorKind.Stalled]
 const PRIORITIES = Object.values(RouteClass)
 
-interface Progress {
-  attempt: number
-  generated: string
-  tokens: number
-  exclude: string[]
+/** A prefill result that an engine holds. */
+interface HeldPrefill {
+  readonly call: EngineCall
+  readonly kv: KvTransferParams
 }
 
 /** Runs completions: books decode, then prefill, prefills, and streams the answer. */
@@ -29,90 +26,108 @@
   }
 
   /**
-   * Streams the whole answer, going on at another endpoint when one fails.
+   * Streams the whole answer, reading on after silence and going on at another endpoint when one fails.
    *
    * @param job - Completion.
-   * @param signal - Aborts when the caller is gone or the deadline has passed; frees engine memory.
-   * @returns Tokens in order, without gaps or repeats.
-   * @throws RequestError when the answer cannot be completed.
+   * @param onAttempt - Called with the number of each attempt before it begins.
+   * @param signal - Aborts when nobody wants the answer; frees engine memory.
+   * @returns Tokens after the job's prefix, in order, without gaps or repeats.
+   * @throws JaymillError when the answer cannot be completed.
    */
-  async * run (job: CompletionJob, signal: AbortSignal): AsyncIterable<TokenEvent> {
-    const progress: Progress = { attempt: 1, generated: '', tokens: 0, exclude: [] }
+  async * run (job: CompletionJob, onAttempt: (attempt: number) => void, signal: AbortSignal): AsyncGenerator<TokenEvent> {
+    const recovery = new AnswerRecovery(this._ctx, job)
     job.record.decide(RequestEvent.Admit, 'admitted', this._ctx.clock.nowMs())
+    this._ctx.health.retries.counted(job.route.id)
     while (true) {
       try {
-        yield * this._attempt(job, progress, signal)
-        return
+        onAttempt(recovery.assembler.attempt)
+        yield * this._attempt(job, recovery, signal)
+        return recovery.finished()
       } catch (err) {
-        this._planRetry(job, progress, err, signal)
+        await recovery.next(err, signal)
       }
     }
   }
 
-  private _planRetry (job: CompletionJob, progress: Progress, err: unknown, signal: AbortSignal): void {
-    signal.throwIfAborted()
-    const retried = err instanceof JaymillError && RETRIED.includes(err.kind)
-    if (!retried || progress.attempt >= MAX_ATTEMPTS) throw err
-    progress.attempt++
-    job.record.decide(RequestEvent.Retry, err.message, this._ctx.clock.nowMs())
-  }
-
-  private async * _attempt (job: CompletionJob, progress: Progress, signal: AbortSignal): AsyncIterable<TokenEvent> {
-    const decode = await this._book(job, progress, BookingStage.Decode, job.model.decodePool, signal)
+  private async * _attempt (job: CompletionJob, recovery: AnswerRecovery, signal: AbortSignal): AsyncGenerator<TokenEvent> {
+    recovery.check()
+    const decode = await this._book(job, recovery, BookingStage.Decode, job.model.decodePool, signal)
+    let held: HeldPrefill | null = null
     try {
-      const kv = await this._prefill(job, progress, signal)
-      yield * this._decode(job, progress, decode, kv, signal)
-    } catch (err) {
-      progress.exclude.push(decode.endpointId)
-      throw err
+      held = await this._prefill(job, recovery, signal)
+      for await (const token of this._decode(job, recovery, decode, held?.kv ?? null, signal)) {
+        held = null
+        yield token
+      }
     } finally {
+      if (held !== null) this._ctx.engines.abandon(held.call.url, held.call.tag)
       this._ctx.booker.release(decode)
     }
   }
 
-  private async _prefill (job: CompletionJob, progress: Progress, signal: AbortSignal): Promise<KvTransferParams | null> {
+  private async _prefill (job: CompletionJob, recovery: AnswerRecovery, signal: AbortSignal): Promise<HeldPrefill | null> {
     if (job.model.prefillPool === job.model.decodePool) return null
-    const booking = await this._book(job, progress, BookingStage.Prefill, job.model.prefillPool, signal)
-    job.record.decide(RequestEvent.Prefill, `attempt ${progress.attempt}`, this._ctx.clock.nowMs(), booking.endpointId)
+    const booking = await this._book(job, recovery, BookingStage.Prefill, job.model.prefillPool, signal)
+    const { attempt } = recovery.assembler
+    job.record.decide(RequestEvent.Prefill, `attempt ${attempt}`, this._ctx.clock.nowMs(), booking.endpointId)
+    const call = this._call(job, recovery, booking.endpointId)
+    const run = this._runs(job, booking)
+    const startedMs = this._ctx.clock.nowMs()
     try {
-      return (await this._ctx.engines.prefill(this._call(job, progress, booking.endpointId), signal)).kv
+      const { kv, promptTokens } = await this._ctx.engines.prefill(call, signal)
+      this._observePrefill(booking.endpointId, promptTokens, startedMs)
+      return { call, kv }
     } catch (err) {
-      progress.exclude.push(booking.endpointId)
+      await recovery.prefillFailed(call, err, signal)
       throw err
     } finally {
+      run.abort()
       this._ctx.booker.release(booking)
     }
   }
 
   private async * _decode (
-    job: CompletionJob, progress: Progress, booking: Booking, kv: KvTransferParams | null, signal: AbortSignal
-  ): AsyncIterable<TokenEvent> {
-    job.record.decide(RequestEvent.Decode, `attempt ${progress.attempt}`, this._ctx.clock.nowMs(), booking.endpointId)
-    for await (const event of this._ctx.engines.decode(this._call(job, progress, booking.endpointId), kv, signal)) {
-      progress.tokens = event.id
-      progress.generated += event.text
-      yield event
-      if (event.finishReason !== null) return
+    job: CompletionJob, recovery: AnswerRecovery, booking: Booking, kv: KvTransferParams | null, signal: AbortSignal
+  ): AsyncGenerator<TokenEvent> {
+    const { attempt } = recovery.assembler
+    job.record.decide(RequestEvent.Decode, `attempt ${attempt}`, this._ctx.clock.nowMs(), booking.endpointId)
+    const run = this._runs(job, booking)
+    try {
+      yield * recovery.tokens(this._call(job, recovery, booking.endpointId), kv, signal)
+    } finally {
+      run.abort()
     }
-    throw new RequestError(ErrorKind.EndpointFailed, `endpoint ${booking.endpointId} ended its answer early`, { ran: RanState.Yes })
+  }
+
+  private _runs (job: CompletionJob, booking: Booking): AbortController {
+    const run = new AbortController()
+    this._ctx.health.quarantine.running(job.fingerprint, booking.endpointId, run.signal)
+    return run
+  }
+
+  private _observePrefill (endpointId: string, promptTokens: number, startedMs: number): void {
+    const nowMs = this._ctx.clock.nowMs()
+    const expectedMs = expectedPrefillMs(promptTokens)
+    const observedMs = nowMs - startedMs
+    this._ctx.health.scorer.observe({ endpointId, measure: PaceMeasure.FirstToken, observedMs, expectedMs }, nowMs)
   }
 
   private async _book (
-    job: CompletionJob, progress: Progress, stage: BookingStage, poolId: string, signal: AbortSignal
+    job: CompletionJob, recovery: AnswerRecovery, stage: BookingStage, poolId: string, signal: AbortSignal
   ): Promise<Booking> {
     const promptTokens = estimateTokens(job.prompt)
-    const prefillMs = promptTokens * EXPECTED_PREFILL_MS_PER_TOKEN
+    const prefillMs = expectedPrefillMs(promptTokens)
     const decode = stage === BookingStage.Decode
     const req: BookingRequest = {
       requestId: job.requestId,
-      attempt: progress.attempt,
+      attempt: recovery.assembler.attempt,
       stage,
       poolId,
       pieces: decode ? piecesOf(job) : 0,
       transferBytes: decode ? promptTokens * job.model.kvBytesPerToken : 0,
       startInMs: decode ? prefillMs : 0,
       expectedMs: decode ? job.maxTokens * job.route.interTokenMs : prefillMs,
-      exclude: progress.exclude,
+      exclude: recovery.exclude,
       prefer: [],
       priority: PRIORITIES.indexOf(job.route.class)
     }
@@ -121,12 +136,12 @@
     return booking
   }
 
-  private _call (job: CompletionJob, progress: Progress, endpointId: string): EngineCall {
+  private _call (job: CompletionJob, recovery: AnswerRecovery, endpointId: string): EngineCall {
     const endpoint = fleetIndex(this._ctx.fleet()).endpoint(endpointId)
     return {
       tag: {
         requestId: job.requestId,
-        attempt: progress.attempt,
+        attempt: recovery.assembler.attempt,
         hostId: this._ctx.identity.id,
         incarnation: this._ctx.identity.incarnation,
         ...(job.idempotencyKey === undefined ? {} : { idempotencyKey: job.idempotencyKey })
@@ -135,11 +150,12 @@
       url: endpoint.url,
       model: job.modelName,
       prompt: job.prompt,
-      generated: progress.generated,
-      generatedTokens: progress.tokens,
+      generated: recovery.assembler.text(),
+      generatedTokens: recovery.assembler.lastId,
       maxTokens: job.maxTokens,
       priority: PRIORITIES.indexOf(job.route.class),
-      sampling: job.sampling
+      sampling: job.sampling,
+      pace: paceOf(job.route, estimateTokens(job.prompt), job.deadlineAtMs - this._ctx.clock.nowMs())
     }
   }
 }
