Let a fleet serve requests without an API key under a named account

Cause: the demo prints addresses for other programs to drive, and such a program has no key. Change: optional member `anonymousAccount` of the fleet configuration, checked against the accounts; without it a request without a key is still refused. Measured: the same look-up answers 200 with the member and 401 once a revision without it is in force. Conclusion: the demo can be driven by any HTTP client; a fleet that wants keys says nothing and gets them.

--- a/packages/bench/src/__tests__/failure/JaymillCallers.test.ts
+++ b/packages/bench/src/__tests__/failure/JaymillCallers.test.ts
@@ -1,6 +1,7 @@
 import { afterAll, beforeAll, describe, expect, test } from 'vitest'
-import { DEMO_API_KEY, DEMO_MODEL } from '../../demo/JaymillDemoDocuments.js'
+import { DEMO_API_KEY, DEMO_MODEL, demoFleet } from '../../demo/JaymillDemoDocuments.js'
 import { DemoFleet } from '../../demo/JaymillDemoFleet.js'
+import { until } from '../../demo/JaymillUntil.js'
 import { expectedAnswer } from '../../standins/JaymillDeterministicText.js'
 
 const BODY_BYTES = 2_000
@@ -49,3 +50,11 @@
     expect(await res.json()).toMatchObject({ choices: [{ text: expectedAnswer('Check pair 5.', 8), finish_reason: 'length' }] })
   })
 })
+
+test('a request without an API key belongs to the anonymous account, if there is one', async () => {
+  const lookUp = async (): Promise<Response> => await fetch(url('/stock/ice'))
+  expect((await lookUp()).status).toBe(200)
+  const urls = { prefill: [fleet.prefill[0]?.url ?? ''], decode: [fleet.decode[0]?.url ?? ''], counter: [fleet.services[0]?.url ?? ''] }
+  fleet.platform.publish('jaymill/fleet', { ...demoFleet(2, urls), anonymousAccount: undefined })
+  await until('refused', async () => (await lookUp()).status === 401)
+})
--- a/packages/bench/src/demo/JaymillDemoDocuments.ts
+++ b/packages/bench/src/demo/JaymillDemoDocuments.ts
@@ -69,7 +69,8 @@
     ],
     accounts: [{
       id: 'kerbrat', keySha256: createHash('sha256').update(DEMO_API_KEY).digest('hex'), weight: 1, requestsPerSecond: 1_000, tokensPerSecond: 1_000_000
-    }]
+    }],
+    anonymousAccount: 'kerbrat'
   }
 }
 
--- a/packages/core/src/fleet/JaymillFleetConfig.ts
+++ b/packages/core/src/fleet/JaymillFleetConfig.ts
@@ -120,4 +120,6 @@
   readonly services: readonly ServiceConfig[]
   readonly routes: readonly RouteConfig[]
   readonly accounts: readonly AccountConfig[]
+  /** Account of requests that carry no API key; such requests are refused when it is absent. */
+  readonly anonymousAccount?: string | undefined
 }
--- a/packages/core/src/fleet/JaymillFleetIndex.ts
+++ b/packages/core/src/fleet/JaymillFleetIndex.ts
@@ -95,6 +95,15 @@
     return found(this._accounts.get(keySha256), ErrorKind.Unauthorized, 'the API key is missing or unknown')
   }
 
+  /**
+   * @returns The account of requests without an API key.
+   * @throws RequestError of kind `Unauthorized` when such requests are not served.
+   */
+  anonymousAccount (): AccountConfig {
+    const account = this._fleet.accounts.find(({ id }) => id === this._fleet.anonymousAccount)
+    return found(account, ErrorKind.Unauthorized, 'the API key is missing')
+  }
+
   /**
    * Finds the service of a path; the longest configured prefix wins.
    *
--- a/packages/daemon/src/callers/JaymillCallerRequest.ts
+++ b/packages/daemon/src/callers/JaymillCallerRequest.ts
@@ -62,7 +62,9 @@
  * @throws RequestError of kind `Unauthorized`.
  */
 export function authenticate (req: IncomingMessage, fleet: FleetIndex): AccountConfig {
-  const token = /^Bearer (.+)$/.exec(headerOf(req, 'authorization') ?? '')?.[1]
-  if (token === undefined) throw new RequestError(ErrorKind.Unauthorized, 'the API key is missing')
+  const header = headerOf(req, 'authorization')
+  if (header === undefined) return fleet.anonymousAccount()
+  const token = /^Bearer (.+)$/.exec(header)?.[1]
+  if (token === undefined) throw new RequestError(ErrorKind.Unauthorized, 'the header Authorization must be "Bearer KEY"')
   return fleet.account(createHash('sha256').update(token).digest('hex'))
 }
--- a/packages/settings/src/JaymillFleetChecks.ts
+++ b/packages/settings/src/JaymillFleetChecks.ts
@@ -24,6 +24,7 @@
     ...[pools, models, services, routes, accounts, endpoints].flatMap(items => duplicates(items, 'id')),
     ...duplicates(endpoints, 'url', normalUrl),
     ...duplicates(accounts, 'keySha256'),
+    ...reference({ path: [], value: asRecord(doc) }, 'anonymousAccount', accounts, 'account'),
     ...duplicatePaths(paths),
     ...[...models, ...paths].flatMap(item => reference(item, 'route', routes, 'route')),
     ...models.flatMap(model => poolReference(model, 'prefillPool', pools, [PoolRole.Prefill, PoolRole.Both])),
--- a/packages/settings/src/JaymillFleetSchema.ts
+++ b/packages/settings/src/JaymillFleetSchema.ts
@@ -80,7 +80,8 @@
   models: z.array(model).default([]).meta({ description: 'Models.' }),
   services: z.array(service).default([]).meta({ description: 'Plain services.' }),
   routes: z.array(route).meta({ description: 'Kinds of request.' }),
-  accounts: z.array(account).meta({ description: 'Accounts of callers.' })
+  accounts: z.array(account).meta({ description: 'Accounts of callers.' }),
+  anonymousAccount: idField('Account of requests without an API key; they are refused when it is absent.').optional()
 })
 
 /** Schema of the published host list. */
