Add the operators' command line

Cause: operators had no tool to check a document before publishing it, or to see and stop hosts.

A late answer whose first byte was not noted now counts as late; only near names are suggested for unknown keys.

--- /dev/null
+++ b/packages/cli/src/JaymillAdminClient.ts
@@ -0,0 +1,91 @@
+import { Agent, request } from 'undici'
+import { fromProblem } from '@jaymill/core'
+import { CliError } from './JaymillCliError.js'
+import { ExitCode } from './JaymillExitCode.js'
+
+/** How hosts are reached. */
+export interface AdminOptions {
+  /** Base URL of the admin listener. */
+  readonly url: string
+  readonly token: string
+  /** Authorities of the listener's certificate, PEM; those of the system when absent. */
+  readonly ca?: string
+  /** Time for one call, in milliseconds. */
+  readonly timeoutMs: number
+}
+
+const EXIT_CODES: Readonly<Record<number, ExitCode>> = { 401: ExitCode.Unauthorized, 404: ExitCode.NotFound }
+
+/** Calls the administration API of one host. */
+export class AdminClient {
+  /** Base URL of the host. */
+  readonly url: string
+  private readonly _options: AdminOptions
+  private readonly _agent: Agent
+
+  /**
+   * @param options - Address, token and limits.
+   */
+  constructor (options: AdminOptions) {
+    this.url = options.url.replace(/\/+$/, '')
+    this._options = options
+    this._agent = new Agent({ connect: { ca: options.ca, timeout: options.timeoutMs }, keepAliveTimeout: 1 })
+  }
+
+  /**
+   * Reads a resource.
+   *
+   * @param path - Path and query.
+   * @returns Parsed JSON.
+   * @throws CliError whose exit code tells what failed.
+   */
+  async get (path: string): Promise<unknown> {
+    return await this._call('GET', path)
+  }
+
+  /**
+   * Sends an order.
+   *
+   * @param path - Path.
+   * @returns Parsed JSON.
+   * @throws CliError whose exit code tells what failed.
+   */
+  async post (path: string): Promise<unknown> {
+    return await this._call('POST', path)
+  }
+
+  private async _call (method: 'GET' | 'POST', path: string): Promise<unknown> {
+    const { status, text } = await this._send(method, path)
+    const body = parseJson(text)
+    if (status === 200 && body !== undefined) return body
+    const detail = fromProblem(body)?.message ?? `status ${status}`
+    throw new CliError(EXIT_CODES[status] ?? ExitCode.Refused, `${this.url}: ${detail}`)
+  }
+
+  private async _send (method: 'GET' | 'POST', path: string): Promise<{ status: number, text: string }> {
+    try {
+      const res = await request(`${this.url}${path}`, {
+        method,
+        dispatcher: this._agent,
+        headers: { authorization: `Bearer ${this._options.token}` },
+        signal: AbortSignal.timeout(this._options.timeoutMs)
+      })
+      return { status: res.statusCode, text: await res.body.text() }
+    } catch (err) {
+      throw new CliError(ExitCode.Unreachable, `${this.url} does not answer: ${reasonOf(err)}`, err)
+    }
+  }
+}
+
+function reasonOf (err: unknown): string {
+  const { code, name, message } = err as NodeJS.ErrnoException
+  return name === 'TimeoutError' ? 'timeout' : code ?? message
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/JaymillFileCommands.ts
@@ -0,0 +1,77 @@
+import {
+  diffFleetConfig, DocumentKind, formatProblem, guessDocumentKind, parseFleetConfig, parseHostList, parseHostSettings,
+  SettingsError, type Problem
+} from '@jaymill/settings'
+import { CliError } from '../JaymillCliError.js'
+import { ExitCode } from '../JaymillExitCode.js'
+import { textFlag, type Flags } from '../JaymillFlags.js'
+import type { Terminal } from '../JaymillTerminal.js'
+import { diffText } from '../render/JaymillDiffText.js'
+
+const PARSERS: Readonly<Record<DocumentKind, (text: string, name: string) => unknown>> = {
+  [DocumentKind.HostSettings]: parseHostSettings,
+  [DocumentKind.Fleet]: parseFleetConfig,
+  [DocumentKind.HostList]: parseHostList
+}
+
+/**
+ * Checks a document.
+ *
+ * @param file - Path.
+ * @param flags - `kind` and `json`.
+ * @param terminal - Receives every problem.
+ * @returns `Problems` when there are any.
+ */
+export function runCheck (file: string, flags: Flags, terminal: Terminal): ExitCode {
+  const text = terminal.read(file)
+  const kind = kindOf(flags) ?? guessDocumentKind(text)
+  const problems = problemsOf(kind, text, file)
+  const ok = problems.length === 0
+  if (flags.json === true) terminal.print(JSON.stringify({ file, kind, ok, problems }))
+  else if (ok) terminal.print(`${file}: this ${kind} document is in order`)
+  else terminal.print(problems.map(problem => formatProblem(file, problem)).join('\n'))
+  return ok ? ExitCode.Ok : ExitCode.Problems
+}
+
+/**
+ * Shows what a fleet configuration would change.
+ *
+ * @param oldFile - Configuration in force.
+ * @param nextFile - Configuration that would replace it.
+ * @param flags - `json`.
+ * @param terminal - Receives changes and risks.
+ * @returns `Problems` when there are risks.
+ * @throws CliError with exit code `Usage` when a file is faulty.
+ */
+export function runDiff (oldFile: string, nextFile: string, flags: Flags, terminal: Terminal): ExitCode {
+  const [old, next] = [readFleet(oldFile, terminal), readFleet(nextFile, terminal)]
+  const diff = diffFleetConfig(old, next)
+  terminal.print(flags.json === true ? JSON.stringify(diff) : diffText(diff))
+  return diff.risks.length === 0 ? ExitCode.Ok : ExitCode.Problems
+}
+
+function kindOf (flags: Flags): DocumentKind | undefined {
+  const wanted = textFlag(flags, 'kind')
+  const kind = Object.values(DocumentKind).find(known => known === wanted)
+  if (wanted === undefined || kind !== undefined) return kind
+  throw new CliError(ExitCode.Usage, `--kind must be one of ${Object.values(DocumentKind).join(', ')}`)
+}
+
+function problemsOf (kind: DocumentKind, text: string, file: string): readonly Problem[] {
+  try {
+    PARSERS[kind](text, file)
+    return []
+  } catch (err) {
+    if (err instanceof SettingsError) return err.problems
+    throw err
+  }
+}
+
+function readFleet (file: string, terminal: Terminal): ReturnType<typeof parseFleetConfig> {
+  try {
+    return parseFleetConfig(terminal.read(file), file)
+  } catch (err) {
+    if (err instanceof SettingsError) throw new CliError(ExitCode.Usage, err.message, err)
+    throw err
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './JaymillExitCode.js'
+export * from './JaymillProgram.js'
+export * from './JaymillTerminal.js'
--- a/packages/daemon/src/requests/JaymillRequestReporter.ts
+++ b/packages/daemon/src/requests/JaymillRequestReporter.ts
@@ -15,9 +15,12 @@
   ctx.log.info('request ended', { requestId, accountId, routeId, state, ran, errorKind, level, tokens, ttftMs })
 }
 
-/** A route that was removed while its request ran has no targets any more. */
+/**
+ * A route that was removed while its request ran has no targets any more. Without a noted first byte, the time to the
+ * end stands for it, so that a late answer never counts as met.
+ */
 function levelOf (ctx: HostContext, record: RequestRecord): ServiceLevel | undefined {
-  const { routeId, errorKind, ttftMs } = record.view()
+  const { routeId, errorKind, receivedMs, endedMs = ctx.clock.nowMs(), ttftMs = endedMs - receivedMs } = record.view()
   const targets = ctx.fleet().routes.find(({ id }) => id === routeId)
   if (targets === undefined) return undefined
   return judgeServiceLevel({ errorKind, ttftMs, interTokenMs: record.interTokenMs }, targets)
--- a/packages/settings/src/JaymillSchemaCheck.ts
+++ b/packages/settings/src/JaymillSchemaCheck.ts
@@ -35,7 +35,8 @@
 
 function unknownKeyMessage (key: string, known: readonly string[]): string {
   const nearest = known.length === 0 ? undefined : closest(key, [...known])
-  const isNear = nearest !== undefined && distance(key, nearest) <= MAX_SUGGESTION_DISTANCE
+  const limit = Math.min(MAX_SUGGESTION_DISTANCE, Math.floor(key.length / 2))
+  const isNear = nearest !== undefined && distance(key, nearest) <= limit
   return isNear ? `unknown key; did you mean "${nearest}"?` : `unknown key; known keys are ${known.join(', ')}`
 }
 
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,4 @@
+export * from './JaymillDocumentKind.js'
 export * from './JaymillFieldReference.js'
 export { fleetConfigSchema, hostListSchema } from './JaymillFleetSchema.js'
 export * from './JaymillHostSettings.js'
