Book capacity at the owners of endpoints in the daemon

Cause: each host booked from its own count alone, so several hosts together overran slots, and nothing waited or was refused early when a pool was full. Change: typed grant calls between hosts in place of the pool-level booking calls; books at the owner, renewed every second, rebuilt from the endpoint's own list after a hold-off; per-pool admission queues; account limits by leases; orphans cancelled by the endpoint's owner. A host is ready once its first take-over is over. Each booking has a nonce, because callers may choose and reuse request ids. Conclusion: hosts share one exact book for each endpoint. Membership facts and straggler weights are not joined yet.

--- a/packages/adapters/src/__tests__/failure/JaymillPeers.test.ts
+++ b/packages/adapters/src/__tests__/failure/JaymillPeers.test.ts
@@ -3,7 +3,7 @@
 import { AddressInfo } from 'node:net'
 import { Readable } from 'node:stream'
 import {
-  BookingHandler, BookingRequest, BookingStage, ConfigHandler, ErrorKind, Heartbeat, HeartbeatHandler, HostState, LeaseHandler,
+  BookingStage, ConfigHandler, ErrorKind, GrantHandler, GrantQuestion, Heartbeat, HeartbeatHandler, HostState, LeaseHandler,
   RanState, RequestError
 } from '@jaymill/core'
 import fc from 'fast-check'
@@ -24,18 +24,20 @@
   health: ''
 }
 
-const BOOKING: BookingRequest = {
-  requestId: 'req-1',
-  attempt: 1,
-  stage: BookingStage.Decode,
-  poolId: 'pool',
-  pieces: 1,
-  transferBytes: 0,
-  startInMs: 0,
-  expectedMs: 1,
-  exclude: [],
-  prefer: [],
-  priority: 0
+const QUESTION: GrantQuestion = {
+  endpointId: 'decode-1',
+  request: {
+    requestId: 'req-1',
+    attempt: 1,
+    stage: BookingStage.Decode,
+    hostId: 'a',
+    incarnation: 1,
+    pieces: 1,
+    transferBytes: 0,
+    startInMs: 0,
+    expectedMs: 1,
+    nonce: 'n'
+  }
 }
 
 class EchoHeartbeat extends HeartbeatHandler {
@@ -52,12 +54,16 @@
   }
 }
 
-class NoBooking extends BookingHandler {
-  async book (): Promise<never> {
+class NoGrant extends GrantHandler {
+  async grant (): Promise<never> {
     throw new RequestError(ErrorKind.Overloaded, 'full', { retryAfterMs: 70 })
   }
 
+  async renew (): Promise<void> {}
   async release (): Promise<void> {}
+  async lease (): Promise<never> {
+    throw new RequestError(ErrorKind.Overloaded, 'full')
+  }
 }
 
 class BigConfig extends ConfigHandler {
@@ -81,7 +87,7 @@
   listen: { host: '127.0.0.1', port: 0 },
   token: TOKEN,
   tls,
-  handlers: { heartbeat: beats, lease: new NoLease(), booking: new NoBooking(), config: new BigConfig() },
+  handlers: { heartbeat: beats, lease: new NoLease(), grants: new NoGrant(), config: new BigConfig() },
   forward: echo
 }, abort.signal)
 
@@ -107,9 +113,9 @@
 
   test('keep the kind of a failure and hide unknown ones', async () => {
     const client = connect((await start()).url)
-    const bad = client.book({ from: 'a', incarnation: 1, request: { ...BOOKING, pieces: -1 } }, abort.signal)
+    const bad = client.grant({ ...QUESTION, request: { ...QUESTION.request, pieces: -1 } }, abort.signal)
     await expect(bad).rejects.toMatchObject({ kind: ErrorKind.BadRequest })
-    const full = client.book({ from: 'a', incarnation: 1, request: BOOKING }, abort.signal)
+    const full = client.grant(QUESTION, abort.signal)
     await expect(full).rejects.toMatchObject({ kind: ErrorKind.Overloaded, ran: RanState.No, retryAfterMs: 70 })
     const lease = client.confirmLease({ from: 'a', incarnation: 1, seq: 1, known: [] }, abort.signal)
     await expect(lease).rejects.toMatchObject({ kind: ErrorKind.Invariant, message: 'internal error' })
--- a/packages/adapters/src/peers/JaymillPeerClient.ts
+++ b/packages/adapters/src/peers/JaymillPeerClient.ts
@@ -1,6 +1,6 @@
 import {
-  Booking, BookingQuestion, BookingRelease, DocumentQuestion, Heartbeat, HighWaterAnswer, HighWaterQuestion, LeaseAnswer,
-  LeaseQuestion, PublishedDocument
+  DocumentQuestion, GrantAnswer, GrantMarks, GrantQuestion, Heartbeat, HighWaterAnswer, HighWaterQuestion, LeaseAnswer,
+  LeaseQuestion, PublishedDocument, TokenLease, TokenQuestion
 } from '@jaymill/core'
 import { createTRPCClient, httpLink } from '@trpc/client'
 import type { Dispatcher } from 'undici'
@@ -10,8 +10,8 @@
 import { toPeerError } from './JaymillPeerFailure.js'
 import type { PeerTls } from './JaymillPeerTls.js'
 import { createPeerTransport, PeerTransport } from './JaymillPeerTransport.js'
-import { bookingSchema } from './routers/JaymillBookingRouter.js'
 import { highWaterAnswerSchema, publishedDocumentSchema } from './routers/JaymillConfigRouter.js'
+import { grantAnswerSchema, tokenLeaseSchema } from './routers/JaymillGrantRouter.js'
 import { heartbeatSchema } from './routers/JaymillHeartbeatRouter.js'
 import { leaseAnswerSchema } from './routers/JaymillLeaseRouter.js'
 import type { PeerRouter } from './routers/JaymillPeerRouter.js'
@@ -79,20 +79,37 @@
   }
 
   /**
-   * @param question - Booking question.
+   * @param question - Question for capacity.
    * @param signal - Gives up.
-   * @returns The booking.
+   * @returns The owner's answer.
    */
-  async book (question: BookingQuestion, signal: AbortSignal): Promise<Booking> {
-    return await this._call(bookingSchema, signal, opts => this._trpc.booking.book.mutate(question, opts))
+  async grant (question: GrantQuestion, signal: AbortSignal): Promise<GrantAnswer> {
+    return await this._call(grantAnswerSchema, signal, opts => this._trpc.grants.grant.mutate(question, opts))
   }
 
   /**
-   * @param release - Booking to be given back.
+   * @param marks - Grants still in use.
    * @param signal - Gives up.
    */
-  async release (release: BookingRelease, signal: AbortSignal): Promise<void> {
-    await this._attempt(signal, opts => this._trpc.booking.release.mutate(release, opts))
+  async renewGrants (marks: GrantMarks, signal: AbortSignal): Promise<void> {
+    await this._attempt(signal, opts => this._trpc.grants.renew.mutate(marks, opts))
+  }
+
+  /**
+   * @param marks - Grants to be given back.
+   * @param signal - Gives up.
+   */
+  async releaseGrants (marks: GrantMarks, signal: AbortSignal): Promise<void> {
+    await this._attempt(signal, opts => this._trpc.grants.release.mutate(marks, opts))
+  }
+
+  /**
+   * @param question - Account and tokens.
+   * @param signal - Gives up.
+   * @returns The lease.
+   */
+  async leaseTokens (question: TokenQuestion, signal: AbortSignal): Promise<TokenLease> {
+    return await this._call(tokenLeaseSchema, signal, opts => this._trpc.grants.lease.mutate(question, opts))
   }
 
   /**
--- a/packages/adapters/src/peers/JaymillPeerConstants.ts
+++ b/packages/adapters/src/peers/JaymillPeerConstants.ts
@@ -34,5 +34,5 @@
 export const MAX_LISTS = 64
 /** Most hosts in a list. */
 export const MAX_HOSTS = 2_048
-/** Most endpoint ids in a booking question. */
-export const MAX_ENDPOINT_IDS = 256
+/** Most grants in one renewal or release. */
+export const MAX_GRANT_MARKS = 256
--- a/packages/adapters/src/peers/routers/JaymillPeerRouter.ts
+++ b/packages/adapters/src/peers/routers/JaymillPeerRouter.ts
@@ -1,7 +1,7 @@
-import type { BookingHandler, ConfigHandler, HeartbeatHandler, LeaseHandler } from '@jaymill/core'
+import type { ConfigHandler, GrantHandler, HeartbeatHandler, LeaseHandler } from '@jaymill/core'
 import { createRouter } from '../JaymillPeerTrpc.js'
-import { createBookingRouter } from './JaymillBookingRouter.js'
 import { createConfigRouter } from './JaymillConfigRouter.js'
+import { createGrantRouter } from './JaymillGrantRouter.js'
 import { createHeartbeatRouter } from './JaymillHeartbeatRouter.js'
 import { createLeaseRouter } from './JaymillLeaseRouter.js'
 
@@ -9,7 +9,7 @@
 export interface PeerHandlers {
   readonly heartbeat: HeartbeatHandler
   readonly lease: LeaseHandler
-  readonly booking: BookingHandler
+  readonly grants: GrantHandler
   readonly config: ConfigHandler
 }
 
@@ -23,7 +23,7 @@
   return createRouter({
     heartbeat: createHeartbeatRouter(handlers.heartbeat),
     lease: createLeaseRouter(handlers.lease),
-    booking: createBookingRouter(handlers.booking),
+    grants: createGrantRouter(handlers.grants),
     config: createConfigRouter(handlers.config)
   })
 }
--- a/packages/bench/src/policy/JaymillFakeAttempt.ts
+++ b/packages/bench/src/policy/JaymillFakeAttempt.ts
@@ -192,6 +192,7 @@
       stage,
       hostId: host.id,
       incarnation: 1,
+      nonce: host.id,
       pieces: decode ? this._pieces : 0,
       transferBytes: decode ? work.promptTokens * site.kvBytesPerToken : 0,
       startInMs: decode ? setup.policy.reservation.decodeStartInMs(prefillMs) : 0,
--- a/packages/core/src/__tests__/unit/JaymillBooking.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillBooking.test.ts
@@ -25,7 +25,7 @@
     const books = hosts.map(host => new OwnerBook(host.id))
     books.forEach(book => book.adopt(list, [full], -10_000))
     books.forEach(book => book.reconcile(full.id, { running: [], heldPieces: 0, ageMs: 0 }, 0))
-    const ask = { attempt: 1, stage: BookingStage.Decode, hostId: 'x', incarnation: 1, pieces: 1, transferBytes: 0, startInMs: 0, expectedMs: 1 }
+    const ask = { attempt: 1, stage: BookingStage.Decode, hostId: 'x', incarnation: 1, pieces: 1, transferBytes: 0, startInMs: 0, expectedMs: 1, nonce: 'n' }
     const granted = books.flatMap(book => Array.from({ length: 30 }, (_, index) =>
       book.grant(full.id, { ...ask, requestId: `${book.roleOf(full.id) ?? ''}-${index}` }, 1).grant).filter(Boolean))
     expect(granted).toHaveLength(20)
--- a/packages/core/src/__tests__/unit/JaymillEndpointLedger.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillEndpointLedger.test.ts
@@ -8,7 +8,7 @@
 
 function request (requestId: string, changes: Partial<GrantRequest> = {}): GrantRequest {
   const stage = BookingStage.Decode
-  const base = { attempt: 1, stage, hostId: 'host-0', incarnation: 1, pieces: 10, transferBytes: 0, startInMs: 200, expectedMs: 4_000 }
+  const base = { attempt: 1, stage, hostId: 'host-0', incarnation: 1, pieces: 10, transferBytes: 0, startInMs: 200, expectedMs: 4_000, nonce: 'n' }
   return { requestId, ...base, ...changes }
 }
 
@@ -39,6 +39,28 @@
     expect(book.free.slots).toBe(3)
   })
 
+  test('counts two bookings of one request id apart', () => {
+    const book = ledger()
+    book.grant(request('a'), 0)
+    book.grant(request('a', { nonce: 'other' }), 0)
+    expect(book.free.slots).toBe(2)
+    book.release(grantId(request('a')), 0)
+    expect(book.free.slots).toBe(3)
+    expect(book.grant(request('a', { nonce: 'third' }), 1).grant).not.toBeNull()
+  })
+
+  test('an adopted grant is renewed and released by its holder', () => {
+    const book = ledger()
+    book.takeOver(0)
+    book.reconcile(report(['a', 'b']), HOLD_OFF_MS)
+    expect(book.renew(grantId(request('a')), HOLD_OFF_MS)).toBe(true)
+    book.reconcile(report(['a', 'b']), HOLD_OFF_MS + 1)
+    expect(book.free.slots).toBe(2)
+    book.release(grantId(request('a')), HOLD_OFF_MS + 2)
+    book.release(grantId(request('b')), HOLD_OFF_MS + 2)
+    expect(book.free.slots).toBe(4)
+  })
+
   test('refuses a request that arrives after its own release', () => {
     const book = ledger()
     book.release(grantId(request('a')), 0)
--- a/packages/core/src/ports/peers/index.ts
+++ b/packages/core/src/ports/peers/index.ts
@@ -1,4 +1,4 @@
-export * from './JaymillBookingHandler.js'
+export * from './JaymillGrantHandler.js'
 export * from './JaymillConfigHandler.js'
 export * from './JaymillHeartbeatHandler.js'
 export * from './JaymillLeaseHandler.js'
--- a/packages/core/src/routing/JaymillEndpointLedger.ts
+++ b/packages/core/src/routing/JaymillEndpointLedger.ts
@@ -1,5 +1,7 @@
 import type { LoadReport, RunningRequest } from '../ports/JaymillEngineClient.js'
-import { FreeCapacity, Grant, GrantAnswer, grantId, GrantRefusal, GrantRequest, GrantState } from './JaymillGrant.js'
+import {
+  adoptedGrantId, FreeCapacity, Grant, GrantAnswer, grantId, GrantRefusal, GrantRequest, GrantState, toAdoptedId
+} from './JaymillGrant.js'
 import type { LinkLedger } from './JaymillLinkLedger.js'
 import { GRANT_TTL_MS, HOLD_OFF_MS, RELEASE_MEMORY_MS } from './JaymillRoutingConstants.js'
 import type { BookingStage } from './JaymillSlotBooker.js'
@@ -85,9 +87,10 @@
   grant (req: GrantRequest, nowMs: number): GrantAnswer {
     const id = grantId(req)
     const known = this._grants.get(id)
-    if (known !== undefined && known.state !== GrantState.Expired) return this._answer(known, null)
+    if (known?.state === GrantState.Held) return this._answer(known, null)
     const refusal = this._refusalOf(id, req, nowMs)
     if (refusal !== null) return this._answer(null, refusal)
+    this._grants.delete(adoptedGrantId(req))
     const grant = this._newGrant(id, req, nowMs)
     this._grants.set(id, grant)
     return this._answer(grant, null)
@@ -101,9 +104,11 @@
    * @returns Whether the grant is still in force.
    */
   renew (id: string, nowMs: number): boolean {
-    const grant = this._grants.get(id)
+    const adoptedId = toAdoptedId(id)
+    const grant = this._grants.get(id) ?? this._grants.get(adoptedId)
     if (grant === undefined) return false
-    this._grants.set(id, { ...grant, state: GrantState.Held, expiresAtMs: nowMs + GRANT_TTL_MS })
+    this._grants.delete(adoptedId)
+    this._grants.set(id, { ...grant, id, state: GrantState.Held, expiresAtMs: nowMs + GRANT_TTL_MS })
     return true
   }
 
@@ -115,8 +120,10 @@
    */
   release (id: string, nowMs: number): void {
     this._grants.delete(id)
+    this._grants.delete(toAdoptedId(id))
     this._link.release(id)
     this._released.set(id, nowMs)
+    this._released.set(toAdoptedId(id), nowMs)
   }
 
   /**
@@ -143,10 +150,11 @@
   reconcile (report: LoadReport, nowMs: number): void {
     const takenAtMs = nowMs - report.ageMs
     const running = new Set(report.running.map(req => this._idOf(req)))
-    const ended = [...this._grants.values()].filter(grant => hasEnded(grant, takenAtMs) && !running.has(grant.id))
-    ended.forEach(grant => this.release(grant.id, nowMs))
+    const ended = [...this._grants.values()].filter(grant => hasEnded(grant, takenAtMs) && !running.has(adoptedGrantId(grant)))
+    ended.forEach(grant => this._grants.delete(grant.id))
+    const booked = new Set([...this._grants.values()].map(adoptedGrantId))
     report.running
-      .filter(req => !this._grants.has(this._idOf(req)) && !this._released.has(this._idOf(req)))
+      .filter(req => !booked.has(this._idOf(req)) && !this._released.has(this._idOf(req)))
       .filter(req => this._adoption === AdoptionRule.All || takenAtMs - req.ageMs <= this._holdOff.untilMs)
       .forEach(req => this._adopt(req, nowMs))
     if (takenAtMs >= this._holdOff.untilMs) this._holdOff = { ...this._holdOff, reportSeen: true }
@@ -199,7 +207,8 @@
   private _refusalOf (id: string, req: GrantRequest, nowMs: number): GrantRefusal | null {
     if (this._leaving) return GrantRefusal.Leaving
     if (this.isHoldingOff(nowMs)) return GrantRefusal.HoldOff
-    if (this._released.has(id) || this._grants.has(id)) return GrantRefusal.Released
+    if (this._released.has(id)) return GrantRefusal.Released
+    if (this._grants.has(id) || this._grants.has(adoptedGrantId(req))) return null
     const startMs = nowMs + req.startInMs
     const counted = [...this._grants.values()].filter(grant =>
       this._counting === CountingRule.Exact || grant.endsAtMs > startMs)
@@ -237,7 +246,7 @@
   }
 
   private _idOf (req: RunningRequest): string {
-    return grantId({ requestId: req.requestId, attempt: req.attempt, stage: this._capacity.stage })
+    return adoptedGrantId({ requestId: req.requestId, attempt: req.attempt, stage: this._capacity.stage })
   }
 
   private _answer (grant: Grant | null, refusal: GrantRefusal | null): GrantAnswer {
--- a/packages/core/src/routing/JaymillGrant.ts
+++ b/packages/core/src/routing/JaymillGrant.ts
@@ -15,6 +15,8 @@
   readonly startInMs: number
   /** Expected use, in milliseconds. */
   readonly expectedMs: number
+  /** Unique for each booking, as callers may choose request ids; a repeated question carries it again. */
+  readonly nonce: string
 }
 
 /** Where a grant stands in its life. */
@@ -72,11 +74,29 @@
 }
 
 /**
- * Names the grant of one attempt, so that a repeated request meets its first grant.
+ * Names the grant of one booking, so that a repeated question meets its first grant.
+ *
+ * @param req - Request, attempt, stage and nonce.
+ * @returns The id; unique on one endpoint.
+ */
+export function grantId (req: Pick<GrantRequest, 'requestId' | 'attempt' | 'stage' | 'nonce'>): string {
+  return `${adoptedGrantId(req)}/${req.nonce}`
+}
+
+/**
+ * Names the grant of a request that was found on an endpoint, where the nonce is not known.
  *
  * @param req - Request, attempt and stage.
  * @returns The id; unique on one endpoint.
  */
-export function grantId (req: Pick<GrantRequest, 'requestId' | 'attempt' | 'stage'>): string {
+export function adoptedGrantId (req: Pick<GrantRequest, 'requestId' | 'attempt' | 'stage'>): string {
   return `${req.requestId}/${req.attempt}/${req.stage}`
 }
+
+/**
+ * @param id - Id from `grantId`.
+ * @returns Id from `adoptedGrantId` for the same request.
+ */
+export function toAdoptedId (id: string): string {
+  return id.slice(0, id.lastIndexOf('/'))
+}
--- a/packages/core/src/routing/JaymillRoutingConstants.ts
+++ b/packages/core/src/routing/JaymillRoutingConstants.ts
@@ -14,7 +14,7 @@
 export const RELEASE_MEMORY_MS = 10_000
 
 /** Longest wait for an owner's answer before the deputy is asked, in milliseconds. */
-export const OWNER_WAIT_MS = 40
+export const OWNER_WAIT_MS = 100
 
 /** Time for which an owner that did not answer is not asked again, in milliseconds. */
 export const OWNER_SILENT_MS = 1_000
--- a/packages/core/src/routing/JaymillSlotBooker.ts
+++ b/packages/core/src/routing/JaymillSlotBooker.ts
@@ -26,6 +26,11 @@
   readonly prefer: readonly string[]
   /** Class priority; lower is more urgent. */
   readonly priority: number
+  readonly accountId: string
+  /** Expected prompt and answer tokens; 0 for services. */
+  readonly tokens: number
+  /** Time from now after which a start can no longer meet the target, in milliseconds. */
+  readonly latestStartInMs: number
 }
 
 /** Granted use of one endpoint. */
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -17,12 +17,12 @@
 import { MetricsServer } from './metrics/JaymillMetricsServer.js'
 import { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 import {
-  RefusingBookingHandler, RefusingConfigHandler, RefusingHeartbeatHandler
+  RefusingConfigHandler, RefusingHeartbeatHandler
 } from './peers/JaymillRefusingPeerHandlers.js'
 import { SystemClock } from './ports/JaymillSystemClock.js'
 import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
 import { SystemRandom } from './ports/JaymillSystemRandom.js'
-import { LocalSlotBooker } from './routing/JaymillLocalSlotBooker.js'
+import { Routing } from './routing/JaymillRouting.js'
 
 const REQUESTS_KEPT = 10_000
 
@@ -43,6 +43,7 @@
   private readonly _callers: CallerServer
   private readonly _admin: AdminServer
   private readonly _platform: PlatformReader
+  private readonly _routing: Routing
   private _draining = false
   private _stopped: Promise<void> | undefined
 
@@ -60,23 +61,27 @@
     const random = new SystemRandom()
     const engines = new UndiciEngineClient({ signal: this._owner.signal })
     const health = new HostHealth({ clock, random, log, identity, engines, fleet: () => documents.fleet() })
-    this._ctx = {
-      settings,
+    const shared = {
       identity,
       clock,
       log,
+      random,
+      engines,
+      peers,
+      fleet: () => documents.fleet(),
+      hosts: () => documents.hosts()
+    }
+    this._routing = new Routing({ ...shared, weightOf: (poolId, endpointId) => health.weight(poolId, endpointId) })
+    this._ctx = {
+      ...shared,
+      settings,
       metrics: new HostMetrics(),
       burn: new BurnRecorder(),
-      random,
       requests: new RequestLog(REQUESTS_KEPT),
-      engines,
       health,
       services: new HttpServiceClient({ signal: this._owner.signal }),
-      peers,
+      booker: this._routing.booker,
       keys: new KeyOwnerDriver({ identity, limits: settings.limits, clock, log, peers, hosts: () => documents.hosts() }),
-      booker: new LocalSlotBooker(() => documents.fleet(), () => documents.hosts(), identity.id, health),
-      fleet: () => documents.fleet(),
-      hosts: () => documents.hosts(),
       draining: () => this._draining
     }
     this._platform = createHostPlatform(this._ctx, secrets, () => documents.ready ? documents.hosts() : undefined)
@@ -103,6 +108,7 @@
     }
     this._ctx.keys.start(this._owner.signal)
     this._documents.follow(this._platform, this._ctx.log, this._owner.signal).catch(err => this._reportFollowing(err))
+    this._routing.follow(() => this._documents.ready, this._owner.signal)
     this._ctx.log.info('host started', { ...urls, incarnation: this._ctx.identity.incarnation })
     return urls
   }
@@ -140,13 +146,13 @@
     return {
       heartbeat: new RefusingHeartbeatHandler(),
       lease: this._ctx.keys,
-      booking: new RefusingBookingHandler(),
+      grants: this._routing.handler,
       config: new RefusingConfigHandler()
     }
   }
 
   private get _ready (): boolean {
-    return this._documents.ready && !this._draining
+    return this._documents.ready && this._routing.ready && !this._draining
   }
 
   private async _drain (): Promise<void> {
--- a/packages/daemon/src/callers/JaymillServiceCall.ts
+++ b/packages/daemon/src/callers/JaymillServiceCall.ts
@@ -26,12 +26,13 @@
  *
  * @param ctx - Shared parts of the host.
  * @param requestId - Id of the request.
+ * @param accountId - Account of the caller.
  * @param match - Service and route.
  * @param signal - Gives up.
  * @returns The booking; it must be released.
  */
 export async function bookService (
-  ctx: HostContext, requestId: string, { service, route }: ServiceMatch, signal: AbortSignal
+  ctx: HostContext, requestId: string, accountId: string, { service, route }: ServiceMatch, signal: AbortSignal
 ): Promise<Booking> {
   return await ctx.booker.book({
     requestId,
@@ -44,7 +45,10 @@
     expectedMs: route.ttftMs,
     exclude: [],
     prefer: [],
-    priority: PRIORITIES.indexOf(route.class)
+    priority: PRIORITIES.indexOf(route.class),
+    accountId,
+    tokens: 0,
+    latestStartInMs: route.ttftMs
   }, signal)
 }
 
--- a/packages/daemon/src/callers/JaymillServiceRoute.ts
+++ b/packages/daemon/src/callers/JaymillServiceRoute.ts
@@ -45,7 +45,7 @@
     const owner = new AbortController()
     const { signal } = withDeadline(exchange, match.route, owner.signal)
     record.decide(RequestEvent.Admit, 'admitted', this._ctx.clock.nowMs())
-    const booking = await bookService(this._ctx, exchange.headers.requestId, match, signal)
+    const booking = await bookService(this._ctx, exchange.headers.requestId, exchange.account.id, match, signal)
     record.decide(RequestEvent.Execute, `owner ${booking.ownerId}`, this._ctx.clock.nowMs(), booking.endpointId)
     try {
       await this._send(exchange, match, booking, record, signal)
--- a/packages/daemon/src/idempotency/JaymillOwnedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillOwnedRequests.ts
@@ -91,7 +91,7 @@
 
   private async _book (arrival: KeyedArrival, permit: RunPermit, signal: AbortSignal): Promise<Booking> {
     arrival.record?.decide(RequestEvent.Admit, 'owner of the key', this._ctx.clock.nowMs())
-    return await bookService(this._ctx, arrival.requestId, arrival.match, signal).catch((err: unknown) => {
+    return await bookService(this._ctx, arrival.requestId, arrival.accountId, arrival.match, signal).catch((err: unknown) => {
       this._ctx.keys.owner.refused(permit)
       throw err
     })
--- a/packages/daemon/src/peers/JaymillRefusingPeerHandlers.ts
+++ b/packages/daemon/src/peers/JaymillRefusingPeerHandlers.ts
@@ -1,22 +1,11 @@
 import {
-  Booking, BookingHandler, ErrorKind, Heartbeat, HeartbeatHandler, HighWaterAnswer, ConfigHandler, PublishedDocument, RequestError
+  ErrorKind, Heartbeat, HeartbeatHandler, HighWaterAnswer, ConfigHandler, PublishedDocument, RequestError
 } from '@jaymill/core'
 
 function refuse (): never {
   throw new RequestError(ErrorKind.NotReady, 'this host does not take such calls')
 }
 
-/** Refuses bookings of other hosts. */
-export class RefusingBookingHandler extends BookingHandler {
-  /** {@inheritDoc @jaymill/core#BookingHandler.book} */
-  async book (): Promise<Booking> {
-    return refuse()
-  }
-
-  /** {@inheritDoc @jaymill/core#BookingHandler.release} */
-  async release (): Promise<void> {}
-}
-
 /** Refuses questions about published documents. */
 export class RefusingConfigHandler extends ConfigHandler {
   /** {@inheritDoc @jaymill/core#ConfigHandler.highWater} */
--- a/packages/daemon/src/requests/JaymillCompletionRunner.ts
+++ b/packages/daemon/src/requests/JaymillCompletionRunner.ts
@@ -129,7 +129,10 @@
       expectedMs: decode ? job.maxTokens * job.route.interTokenMs : prefillMs,
       exclude: recovery.exclude,
       prefer: [],
-      priority: PRIORITIES.indexOf(job.route.class)
+      priority: PRIORITIES.indexOf(job.route.class),
+      accountId: job.account.id,
+      tokens: promptTokens + job.maxTokens,
+      latestStartInMs: recovery.assembler.attempt === 1 ? Math.max(0, job.route.ttftMs - prefillMs) : job.route.deadlineMs
     }
     const booking = await this._ctx.booker.book(req, signal)
     if (decode) job.record.decide(RequestEvent.Reserve, `owner ${booking.ownerId}`, this._ctx.clock.nowMs(), booking.endpointId)
--- /dev/null
+++ b/packages/daemon/src/routing/JaymillOwnedEndpoints.ts
@@ -0,0 +1,30 @@
+import { BookingStage, EndpointState, FleetConfig, OwnedEndpoint, PoolConfig, PoolRole } from '@jaymill/core'
+
+const STAGE_OF_ROLE: Readonly<Record<PoolRole, BookingStage>> = {
+  [PoolRole.Prefill]: BookingStage.Prefill,
+  [PoolRole.Decode]: BookingStage.Decode,
+  [PoolRole.Both]: BookingStage.Decode,
+  [PoolRole.Service]: BookingStage.Service
+}
+
+/**
+ * Lists the endpoints of a configuration as owners need them.
+ *
+ * @param fleet - Configuration in force.
+ * @returns Every endpoint; the pool's link is divided between its endpoints.
+ */
+export function ownedEndpoints (fleet: FleetConfig): readonly OwnedEndpoint[] {
+  return fleet.pools.flatMap(pool => pool.endpoints.map(endpoint => ({
+    id: endpoint.id,
+    zone: endpoint.zone,
+    stage: STAGE_OF_ROLE[pool.role],
+    slots: endpoint.slots,
+    kvPieces: endpoint.kvPieces,
+    linkBytesPerSecond: linkShare(pool),
+    leaving: endpoint.state === EndpointState.Leaving
+  })))
+}
+
+function linkShare (pool: PoolConfig): number {
+  return pool.linkBytesPerSecond / Math.max(1, pool.endpoints.length)
+}
