--- a/packages/core/src/requests/JaymillRequestLog.ts
+++ b/packages/core/src/requests/JaymillRequestLog.ts
@@ -1,15 +1,18 @@
-import { RequestFacts, RequestRecord } from './JaymillRequestRecord.js'
+import { type DecisionListener, RequestFacts, RequestRecord } from './JaymillRequestRecord.js'
 
 /** Requests that this host knows, bounded: the oldest ended ones are dropped first. */
 export class RequestLog {
   private readonly _records = new Map<string, RequestRecord>()
   private readonly _capacity: number
+  private readonly _onDecision: DecisionListener | undefined
 
   /**
    * @param capacity - Most records to be kept.
+   * @param onDecision - Told of each decision about any request.
    */
-  constructor (capacity: number) {
+  constructor (capacity: number, onDecision?: DecisionListener) {
     this._capacity = capacity
+    this._onDecision = onDecision
   }
 
   /** Requests that have not ended. */
@@ -25,7 +28,7 @@
    * @returns The record.
    */
   open (facts: RequestFacts, now: number): RequestRecord {
-    const record = new RequestRecord(facts, now)
+    const record = new RequestRecord(facts, now, this._onDecision)
     this._records.delete(facts.requestId)
     this._records.set(facts.requestId, record)
     this._trim()
--- a/packages/core/src/requests/JaymillRequestRecord.ts
+++ b/packages/core/src/requests/JaymillRequestRecord.ts
@@ -17,6 +17,9 @@
   readonly target?: string
 }
 
+/** Told of each decision as it is taken. */
+export type DecisionListener = (facts: RequestFacts, entry: DecisionEntry) => void
+
 /** Facts about a request that do not change. */
 export interface RequestFacts {
   readonly requestId: string
@@ -54,13 +57,16 @@
   private _tokens = 0
   private _endedMs: number | undefined
   private _outcome: RequestOutcome | undefined
+  private readonly _onDecision: DecisionListener | undefined
 
   /**
    * @param facts - What is known on arrival.
    * @param receivedMs - Monotonic arrival time in milliseconds.
+   * @param onDecision - Told of each decision.
    */
-  constructor (facts: RequestFacts, receivedMs: number) {
+  constructor (facts: RequestFacts, receivedMs: number, onDecision?: DecisionListener) {
     this.facts = facts
+    this._onDecision = onDecision
     this.receivedMs = receivedMs
   }
 
@@ -96,7 +102,9 @@
   decide (event: RequestEvent, reason: string, now: number, target?: string): void {
     this._snapshot = advanceRequest(this._snapshot, event)
     if (this._decisions.length >= MAX_DECISIONS) this._decisions.splice(1, 1)
-    this._decisions.push({ atMs: now - this.receivedMs, event, reason, ...(target === undefined ? {} : { target }) })
+    const entry = { atMs: now - this.receivedMs, event, reason, ...(target === undefined ? {} : { target }) }
+    this._decisions.push(entry)
+    this._onDecision?.(this.facts, entry)
   }
 
   /**
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -12,6 +12,7 @@
 import { ForwardServer } from './idempotency/JaymillForwardServer.js'
 import { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
 import { OwnedRequests } from './idempotency/JaymillOwnedRequests.js'
+import { decisionLogger } from './logging/JaymillDecisionLog.js'
 import { createHostLogger } from './logging/JaymillLogger.js'
 import { HostMetrics } from './metrics/JaymillHostMetrics.js'
 import { MetricsServer } from './metrics/JaymillMetricsServer.js'
@@ -77,7 +78,7 @@
       settings,
       metrics: new HostMetrics(),
       burn: new BurnRecorder(),
-      requests: new RequestLog(REQUESTS_KEPT),
+      requests: new RequestLog(REQUESTS_KEPT, decisionLogger(log)),
       health,
       services: new HttpServiceClient({ signal: this._owner.signal }),
       booker: this._routing.booker,
@@ -119,6 +120,7 @@
    * @returns When everything is released; every call gives the same promise.
    */
   async stop (): Promise<void> {
+    if (this._stopped !== undefined) this._ctx.log.warn('stop was asked for again, work still runs', { running: this._callers.inFlight })
     this._stopped ??= this._drain()
     await this._stopped
   }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,6 +4,7 @@
 import { parseHostSettings, SettingsError } from '@jaymill/settings'
 import { Daemon } from './JaymillDaemon.js'
 
+const EXIT_FAILED = 1
 const EXIT_SETTINGS = 2
 
 async function run (file: string): Promise<void> {
@@ -17,12 +18,13 @@
 }
 
 function fail (err: unknown): void {
-  console.error(err instanceof SettingsError ? err.message : err)
-  process.exitCode = EXIT_SETTINGS
+  console.error(`jaymilld: ${err instanceof Error ? err.message : String(err)}`)
+  process.exit(err instanceof SettingsError ? EXIT_SETTINGS : EXIT_FAILED)
 }
 
 sade('jaymilld <settings>', true)
-  .describe('Runs one host of the router. Prints its addresses as one JSON line when it listens.')
+  .describe('Runs one host of the router. Prints its addresses as one JSON line when it listens. ' +
+    'Exit codes: 0 stopped gracefully; 1 could not start; 2 settings refused.')
   .example('host.jsonc')
   .action((file: string) => { run(file).catch(fail) })
   .parse(process.argv)
