Run membership and configuration exchange in the daemon

Cause: each host followed the platform by itself, knew nothing of the others, and a fresh host could serve under an older revision than the fleet.

Change: heartbeats over the peer listener carry marks of the documents, host news, leaving endpoints and the health digest; documents travel between hosts; a host serves only after enough others have told their revisions and closes again after a pause of the process; only a few hosts of each zone watch the platform; a drain is announced at once; the booker sees endpoints that any host knows to be leaving. The heartbeat drops a field that nothing read.

Conclusion: what is in force no longer hangs on every host's own reading of the platform.

--- a/packages/adapters/src/__tests__/failure/JaymillPeers.test.ts
+++ b/packages/adapters/src/__tests__/failure/JaymillPeers.test.ts
@@ -18,7 +18,6 @@
   seq: 1,
   state: HostState.Live,
   documents: [],
-  platformAgeMs: null,
   updates: [],
   leavingEndpoints: [],
   health: ''
--- a/packages/adapters/src/peers/routers/JaymillHeartbeatRouter.ts
+++ b/packages/adapters/src/peers/routers/JaymillHeartbeatRouter.ts
@@ -19,7 +19,6 @@
   seq: countSchema,
   state: z.enum(HostState),
   documents: documentMarksSchema,
-  platformAgeMs: quantitySchema.nullable(),
   updates: z.array(updateSchema).max(MAX_UPDATES),
   leavingEndpoints: z.array(leavingMarkSchema).max(MAX_LEAVING_MARKS),
   health: z.string().max(MAX_HEALTH_CHARS)
--- a/packages/core/src/__tests__/unit/JaymillMembership.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillMembership.test.ts
@@ -5,7 +5,7 @@
 } from '../../index.js'
 
 const STEP_MS = 200
-const FACTS = { documents: [], platformAgeMs: null, leavingEndpoints: [], health: '' }
+const FACTS = { documents: [], leavingEndpoints: [], health: '' }
 
 const listOf = (count: number): HostList => ({
   revision: 1,
--- a/packages/core/src/membership/JaymillEndpointAvailability.ts
+++ b/packages/core/src/membership/JaymillEndpointAvailability.ts
@@ -73,6 +73,15 @@
     return !marked && !this._configLeaving.has(endpointId) && !this._listLeaving.has(endpointId)
   }
 
+  /**
+   * @param nowMs - Time in milliseconds.
+   * @returns Ids of all endpoints that may not get new work.
+   */
+  leaving (nowMs: number): string[] {
+    const marked = [...this._expiryMs].filter(([, expiryMs]) => expiryMs > nowMs).map(([id]) => id)
+    return [...new Set([...marked, ...this._configLeaving, ...this._listLeaving])].sort()
+  }
+
   /**
    * @param nowMs - Time in milliseconds.
    * @returns Reports to be passed on, the freshest first.
--- a/packages/core/src/membership/JaymillMembership.ts
+++ b/packages/core/src/membership/JaymillMembership.ts
@@ -10,8 +10,6 @@
 /** What a heartbeat carries for other matters. */
 export interface HeartbeatFacts {
   readonly documents: readonly DocumentMark[]
-  /** Age of the freshest platform read known, in milliseconds; `null` when none is. */
-  readonly platformAgeMs: number | null
   readonly leavingEndpoints: readonly LeavingMark[]
   readonly health: string
 }
--- a/packages/core/src/ports/peers/JaymillHeartbeatHandler.ts
+++ b/packages/core/src/ports/peers/JaymillHeartbeatHandler.ts
@@ -43,8 +43,6 @@
   readonly state: HostState
   /** Marks of the published documents in force on the sender. */
   readonly documents: readonly DocumentMark[]
-  /** Age of the freshest platform read the sender knows of, in milliseconds; `null` when it knows none. */
-  readonly platformAgeMs: number | null
   /** Recent changes of other hosts' states; bounded. */
   readonly updates: readonly PeerUpdate[]
   /** Endpoints that the sender knows to be leaving; bounded. */
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -1,11 +1,13 @@
-import { BurnRecorder, ErrorKind, HostIdentity, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
+import { BurnRecorder, ErrorKind, HostIdentity, HostList, PeerStatus, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
 import { HttpServiceClient, PeerHandlers, UndiciEngineClient } from '@jaymill/adapters'
 import { HostSettings, readSecret } from '@jaymill/settings'
 import type { Logger } from 'winston'
 import { revisionOf } from './admin/JaymillAdminRouter.js'
 import { AdminServer } from './admin/JaymillAdminServer.js'
 import { CallerServer } from './callers/JaymillCallerServer.js'
+import { ConfigDriver } from './config/JaymillConfigDriver.js'
 import { createHostPlatform } from './config/JaymillHostPlatform.js'
+import { PlatformFollower } from './config/JaymillPlatformFollower.js'
 import { PublishedDocuments } from './config/JaymillPublishedDocuments.js'
 import { HostHealth } from './health/JaymillHostHealth.js'
 import type { HostContext } from './JaymillHostContext.js'
@@ -16,16 +18,15 @@
 import { createHostLogger } from './logging/JaymillLogger.js'
 import { HostMetrics } from './metrics/JaymillHostMetrics.js'
 import { MetricsServer } from './metrics/JaymillMetricsServer.js'
+import { MembershipDriver } from './membership/JaymillMembershipDriver.js'
 import { PeerNetwork } from './peers/JaymillPeerNetwork.js'
-import {
-  RefusingConfigHandler, RefusingHeartbeatHandler
-} from './peers/JaymillRefusingPeerHandlers.js'
 import { SystemClock } from './ports/JaymillSystemClock.js'
 import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
 import { SystemRandom } from './ports/JaymillSystemRandom.js'
 import { Routing } from './routing/JaymillRouting.js'
 
 const REQUESTS_KEPT = 10_000
+const NOT_READY_RETRY_AFTER_MS = 1_000
 
 /** Addresses a daemon listens on. */
 export interface DaemonUrls {
@@ -37,12 +38,14 @@
 
 /** One host of the system: listeners, published documents and what serves requests. */
 export class Daemon {
-  private readonly _documents = new PublishedDocuments()
+  private readonly _documents: PublishedDocuments
   private readonly _owner = new AbortController()
   private readonly _ctx: HostContext
   private readonly _owned: OwnedRequests
   private readonly _callers: CallerServer
   private readonly _admin: AdminServer
+  private readonly _config: ConfigDriver
+  private readonly _membership: MembershipDriver
   private readonly _platform: PlatformReader
   private readonly _routing: Routing
   private _draining = false
@@ -55,13 +58,16 @@
   constructor (settings: HostSettings, log: Logger = createHostLogger(settings.log.level, settings.host.id)) {
     const clock = new SystemClock()
     const identity: HostIdentity = { ...settings.host, incarnation: settings.host.incarnation ?? clock.wallMs() }
-    const { _documents: documents } = this
+    const documents = this._documents = new PublishedDocuments(log)
     const secrets = new SystemSecretReader()
     const peerToken = readSecret(settings.credentials.peerToken, 'credentials.peerToken', secrets)
     const peers = new PeerNetwork(settings, peerToken, () => documents.hosts(), this._owner.signal)
     const random = new SystemRandom()
     const engines = new UndiciEngineClient({ signal: this._owner.signal })
     const health = new HostHealth({ clock, random, log, identity, engines, fleet: () => documents.fleet() })
+    const parts = { identity, clock, log, peers, documents }
+    this._config = new ConfigDriver(parts)
+    this._membership = new MembershipDriver({ ...parts, config: this._config, health })
     const shared = {
       identity,
       clock,
@@ -72,7 +78,8 @@
       fleet: () => documents.fleet(),
       hosts: () => documents.hosts()
     }
-    this._routing = new Routing({ ...shared, weightOf: (poolId, endpointId) => health.weight(poolId, endpointId) })
+    const knownLeaving = (): HostList => this._membership.list()
+    this._routing = new Routing({ ...shared, hosts: knownLeaving, weightOf: (poolId, endpointId) => health.weight(poolId, endpointId) })
     this._ctx = {
       ...shared,
       settings,
@@ -83,9 +90,10 @@
       services: new HttpServiceClient({ signal: this._owner.signal }),
       booker: this._routing.booker,
       keys: new KeyOwnerDriver({ identity, limits: settings.limits, clock, log, peers, hosts: () => documents.hosts() }),
-      draining: () => this._draining
+      draining: () => this._draining,
+      requireReady: () => this._requireReady()
     }
-    this._platform = createHostPlatform(this._ctx, secrets, () => documents.ready ? documents.hosts() : undefined)
+    this._platform = createHostPlatform(this._ctx, secrets, () => documents.list)
     this._owned = new OwnedRequests(this._ctx, this._owner.signal)
     this._callers = new CallerServer(this._ctx, this._owned)
     this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', secrets), {
@@ -108,8 +116,7 @@
       peer: await this._ctx.peers.listen(this._peerHandlers(), (req, res) => forwards.handle(req, res))
     }
     this._ctx.keys.start(this._owner.signal)
-    this._documents.follow(this._platform, this._ctx.log, this._owner.signal).catch(err => this._reportFollowing(err))
-    this._routing.follow(() => this._documents.ready, this._owner.signal)
+    this._follow(this._owner.signal)
     this._ctx.log.info('host started', { ...urls, incarnation: this._ctx.identity.incarnation })
     return urls
   }
@@ -132,6 +139,16 @@
     this._admin.close()
   }
 
+  private _follow (signal: AbortSignal): void {
+    const { _documents: documents, _platform: reader, _membership: membership } = this
+    const { identity: { id: hostId }, clock } = this._ctx
+    const answers = (other: string): boolean => [PeerStatus.Live, PeerStatus.Leaving].includes(membership.statusOf(other))
+    membership.start(signal)
+    this._config.start(signal)
+    new PlatformFollower({ hostId, reader, documents, clock, answers }).start(signal)
+    this._routing.follow(() => documents.known, signal)
+  }
+
   private async _listenMetrics (): Promise<string> {
     const { metrics, settings } = this._ctx
     metrics.watch({
@@ -146,19 +163,28 @@
 
   private _peerHandlers (): PeerHandlers {
     return {
-      heartbeat: new RefusingHeartbeatHandler(),
+      heartbeat: this._membership,
       lease: this._ctx.keys,
       grants: this._routing.handler,
-      config: new RefusingConfigHandler()
+      config: this._config
     }
   }
 
   private get _ready (): boolean {
-    return this._documents.ready && this._routing.ready && !this._draining
+    return this._documents.known && this._routing.ready && this._config.gate.open && !this._membership.paused && !this._draining
+  }
+
+  private _requireReady (): void {
+    const { open, reason, answers, needed } = this._config.gate
+    if (this._membership.paused) throw new RequestError(ErrorKind.NotReady, 'this host was paused and asks the others for their configuration')
+    if (open) return
+    const message = `this host may not serve yet: ${reason}, ${answers} of ${needed} other hosts have told their revisions`
+    throw new RequestError(ErrorKind.NotReady, message, { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
   }
 
   private async _drain (): Promise<void> {
     this._draining = true
+    this._membership.leave()
     const deadline = setTimeout(() => this._reportDeadline(), this._ctx.settings.drainDeadlineMs)
     this._ctx.log.info('drain started', { running: this._callers.inFlight })
     await this._callers.idle()
@@ -171,8 +197,4 @@
   private _reportDeadline (): void {
     this._ctx.log.error('drain deadline has passed, work still runs', { running: this._callers.inFlight })
   }
-
-  private _reportFollowing (err: unknown): void {
-    if (!this._owner.signal.aborted) this._ctx.log.error('platform watch ended', { err })
-  }
 }
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -40,4 +40,8 @@
    * @returns Whether the host is stopping.
    */
   draining: () => boolean
+  /**
+   * @throws RequestError of kind `NotReady` while this host may be behind the configuration in force.
+   */
+  requireReady: () => void
 }
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -86,6 +86,7 @@
         const ran = headers.idempotencyKey === undefined ? RanState.No : RanState.Unknown
         throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { ran, retryAfterMs: DRAIN_RETRY_AFTER_MS })
       }
+      this._ctx.requireReady()
       const account = authenticate(req, fleetIndex(this._ctx.fleet()))
       await this._dispatch({ req, res, headers, account, signal: callerSignal(res) })
     } catch (err) {
--- a/packages/daemon/src/config/JaymillPublishedDocuments.ts
+++ b/packages/daemon/src/config/JaymillPublishedDocuments.ts
@@ -1,83 +1,141 @@
 import {
-  ErrorKind, FleetConfig, HostList, PlatformKey, PlatformReader, RequestError
+  ConfigAuthority, ConfigLag, DigestConflict, DocumentMark, ErrorKind, FleetConfig, HostList, Offer, OfferOutcome, PlatformKey,
+  PublishedDocument, RequestError, RevisionedDocument
 } from '@jaymill/core'
-import { parseFleetConfig, parseHostList } from '@jaymill/settings'
 import type { Logger } from 'winston'
+import { FleetCodec, HostListCodec } from './JaymillDocumentCodecs.js'
 
-interface Revisioned {
-  readonly revision: number
-}
+/** Called after a document has come into force. */
+export type AdoptionListener = (key: PlatformKey) => void
 
-/** One published document: the highest revision seen is in force. */
-class PublishedDocument<Value extends Revisioned> {
-  private _current: Value | undefined
-  private readonly _key: PlatformKey
-  private readonly _parse: (text: string, name: string) => Value
+/** Fleet configuration and host list in force on this host. */
+export class PublishedDocuments {
+  private readonly _fleet = new ConfigAuthority(PlatformKey.Fleet, new FleetCodec())
+  private readonly _hosts = new ConfigAuthority(PlatformKey.Hosts, new HostListCodec())
+  private readonly _listeners: AdoptionListener[] = []
+  private readonly _log: Logger
 
-  constructor (key: PlatformKey, parse: (text: string, name: string) => Value) {
-    this._key = key
-    this._parse = parse
+  /**
+   * @param log - Receives adoptions and refusals.
+   */
+  constructor (log: Logger) {
+    this._log = log
   }
 
+  /** Whether both documents are known. */
   get known (): boolean {
-    return this._current !== undefined
+    return this._fleet.current !== undefined && this._hosts.current !== undefined
   }
 
-  get (): Value {
-    if (this._current === undefined) throw new RequestError(ErrorKind.NotReady, `no ${this._key} document is in force yet`)
-    return this._current
+  /** Host list in force; `undefined` before the first. */
+  get list (): HostList | undefined {
+    return this._hosts.current?.document
   }
 
-  async follow (reader: PlatformReader, log: Logger, signal: AbortSignal): Promise<void> {
-    for await (const value of reader.watch(this._key, signal)) this._offer(value.text, log)
+  /** Marks of the documents in force. */
+  get marks (): DocumentMark[] {
+    return [this._fleet.mark, this._hosts.mark].filter(mark => mark !== undefined)
   }
 
-  private _offer (text: string, log: Logger): void {
-    try {
-      const next = this._parse(text, this._key)
-      if (next.revision <= (this._current?.revision ?? -1)) return
-      this._current = next
-      log.info('configuration adopted', { document: this._key, revision: next.revision })
-    } catch (err) {
-      log.error('configuration refused', { document: this._key, err })
-    }
+  /** Conflicts over the revisions in force. */
+  get conflicts (): DigestConflict[] {
+    return [this._fleet.conflict, this._hosts.conflict].filter(conflict => conflict !== undefined)
   }
-}
 
-/** Fleet configuration and host list in force on this host. */
-export class PublishedDocuments {
-  private readonly _fleet = new PublishedDocument<FleetConfig>(PlatformKey.Fleet, parseFleetConfig)
-  private readonly _hosts = new PublishedDocument<HostList>(PlatformKey.Hosts, parseHostList)
+  /**
+   * @returns The configuration in force.
+   * @throws RequestError of kind `NotReady` before the first one.
+   */
+  fleet (): FleetConfig {
+    return inForce(this._fleet)
+  }
 
-  /** Whether both documents are known. */
-  get ready (): boolean {
-    return this._fleet.known && this._hosts.known
+  /**
+   * @returns The host list in force.
+   * @throws RequestError of kind `NotReady` before the first one.
+   */
+  hosts (): HostList {
+    return inForce(this._hosts)
+  }
+
+  /**
+   * @param listener - Called after each adoption.
+   */
+  onAdopted (listener: AdoptionListener): void {
+    this._listeners.push(listener)
   }
 
   /**
-   * Follows the platform until the signal aborts.
+   * @param key - Document.
+   * @returns The document in force as it was published; `undefined` before the first.
+   */
+  published (key: PlatformKey): PublishedDocument | undefined {
+    return this._authority(key).current?.published
+  }
+
+  /**
+   * Offers a text that the platform gave.
    *
-   * @param reader - Platform.
-   * @param log - Receives adoptions and refusals.
-   * @param signal - Ends the watches.
+   * @param key - Document.
+   * @param text - Published text.
    */
-  async follow (reader: PlatformReader, log: Logger, signal: AbortSignal): Promise<void> {
-    await Promise.all([this._fleet.follow(reader, log, signal), this._hosts.follow(reader, log, signal)])
+  offerText (key: PlatformKey, text: string): void {
+    this._report(key, this._authority(key).offerText(text, 'platform'), 'platform')
   }
 
   /**
-   * @returns The configuration in force.
-   * @throws RequestError of kind `NotReady` before the first one.
+   * Offers a document that another host gave.
+   *
+   * @param document - Document.
+   * @param hostId - The other host.
    */
-  fleet (): FleetConfig {
-    return this._fleet.get()
+  offerDocument (document: PublishedDocument, hostId: string): void {
+    this._report(document.key, this._authority(document.key).offerDocument(document, hostId), hostId)
   }
 
   /**
-   * @returns The host list in force.
-   * @throws RequestError of kind `NotReady` before the first one.
+   * Notes what another host has in force; a conflict is logged once.
+   *
+   * @param mark - Mark.
+   * @param hostId - The other host.
+   * @param nowMs - Time in milliseconds.
+   * @returns Whether the other host has a higher revision.
    */
-  hosts (): HostList {
-    return this._hosts.get()
+  hear (mark: DocumentMark, hostId: string, nowMs: number): boolean {
+    const authority = this._authority(mark.key)
+    const before = authority.conflict
+    const higher = authority.hear(mark, hostId, nowMs)
+    const { conflict } = authority
+    if (conflict !== undefined && conflict.refusedDigest !== before?.refusedDigest) this._log.error('configuration conflict', { ...conflict })
+    return higher
   }
+
+  /**
+   * @param nowMs - Time in milliseconds.
+   * @returns Documents that are behind what other hosts have.
+   */
+  lags (nowMs: number): ConfigLag[] {
+    return [this._fleet.lag(nowMs), this._hosts.lag(nowMs)].filter(lag => lag !== undefined)
+  }
+
+  private _authority (key: PlatformKey): ConfigAuthority<FleetConfig> | ConfigAuthority<HostList> {
+    return key === PlatformKey.Fleet ? this._fleet : this._hosts
+  }
+
+  private _report (document: PlatformKey, { outcome, error }: Offer, source: string): void {
+    if (outcome === OfferOutcome.Same) return
+    if (outcome !== OfferOutcome.Adopted) return this._refused(document, outcome, source, error)
+    this._log.info('configuration adopted', { document, source, revision: this._authority(document).mark?.revision })
+    this._listeners.forEach(listener => listener(document))
+  }
+
+  private _refused (document: PlatformKey, outcome: OfferOutcome, source: string, err: unknown): void {
+    this._log.error('configuration refused', { document, outcome, source, err })
+  }
+}
+
+function inForce<T extends RevisionedDocument> (authority: ConfigAuthority<T>): T {
+  const { current, key } = authority
+  if (current === undefined) throw new RequestError(ErrorKind.NotReady, `no ${key} document is in force yet`)
+  return current.document
 }
--- a/packages/daemon/src/idempotency/JaymillForwardServer.ts
+++ b/packages/daemon/src/idempotency/JaymillForwardServer.ts
@@ -45,6 +45,7 @@
   }
 
   private async _arrival (req: IncomingMessage): Promise<KeyedArrival> {
+    this._ctx.requireReady()
     const headers = forwardedHeaders(req)
     const path = (req.url ?? '').slice(FORWARD_PREFIX.length)
     const method = req.method ?? 'GET'
