Join a keyed completion at the owner of its key, whichever host the resend meets

Cause: a resend through another host ran the model again, and the earlier connection could get the same answer too. Two requests with the same X-Request-Id shared an id on engines, so one could cancel or read the other. A stream that failed after its first event was cut instead of ended by an error event: `getHeader` does not see what `writeHead` set. Change: the entry host reads a keyed answer line by line from the owner of its key and goes on by itself when the owner is lost or silent; ids on engines are unique to a run; the error event is sent; a model's route must be idempotent. Conclusion: a completion with a key runs once while its owner is reachable, and is still answered when it is not.

--- a/packages/bench/src/standins/JaymillStandInServer.ts
+++ b/packages/bench/src/standins/JaymillStandInServer.ts
@@ -68,7 +68,7 @@
    */
   protected note (req: IncomingMessage): void {
     this.received.push({
-      requestId: String(req.headers['x-request-id'] ?? ''),
+      requestId: callerRequestId(req),
       idempotencyKey: req.headers['idempotency-key'] === undefined ? null : String(req.headers['idempotency-key'])
     })
   }
@@ -82,6 +82,14 @@
   }
 }
 
+/**
+ * @param req - Request of a host.
+ * @returns The caller's request id, without what makes it unique on engines.
+ */
+function callerRequestId (req: IncomingMessage): string {
+  return String(req.headers['x-request-id'] ?? '').split('~')[0] ?? ''
+}
+
 /**
  * Reads a JSON body.
  *
--- a/packages/core/src/fleet/JaymillFleetIndex.ts
+++ b/packages/core/src/fleet/JaymillFleetIndex.ts
@@ -27,6 +27,7 @@
   private readonly _routes: Map<string, RouteConfig>
   private readonly _models: Map<string, ModelConfig>
   private readonly _accounts: Map<string, AccountConfig>
+  private readonly _accountsById: Map<string, AccountConfig>
 
   /**
    * @param fleet - Configuration.
@@ -36,6 +37,7 @@
     this._pools = byId(fleet.pools)
     this._endpoints = byId(fleet.pools.flatMap(({ endpoints }) => endpoints))
     this._poolOfEndpoint = new Map(fleet.pools.flatMap(pool => pool.endpoints.map(({ id }) => [id, pool])))
+    this._accountsById = byId(fleet.accounts)
     this._routes = byId(fleet.routes)
     this._models = new Map(fleet.models.flatMap(model => [model.id, ...model.adapters].map(name => [name, model])))
     this._accounts = new Map(fleet.accounts.map(account => [account.keySha256.toLowerCase(), account]))
@@ -95,12 +97,21 @@
     return found(this._accounts.get(keySha256), ErrorKind.Unauthorized, 'the API key is missing or unknown')
   }
 
+  /**
+   * @param id - Id of an account.
+   * @returns The account.
+   * @throws RequestError of kind `Unauthorized`.
+   */
+  accountById (id: string): AccountConfig {
+    return found(this._accountsById.get(id), ErrorKind.Unauthorized, `account ${id} is not configured`)
+  }
+
   /**
    * @returns The account of requests without an API key.
    * @throws RequestError of kind `Unauthorized` when such requests are not served.
    */
   anonymousAccount (): AccountConfig {
-    const account = this._fleet.accounts.find(({ id }) => id === this._fleet.anonymousAccount)
+    const account = this._accountsById.get(this._fleet.anonymousAccount ?? '')
     return found(account, ErrorKind.Unauthorized, 'the API key is missing')
   }
 
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -23,7 +23,13 @@
 import { SystemClock } from './ports/JaymillSystemClock.js'
 import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
 import { SystemRandom } from './ports/JaymillSystemRandom.js'
+import { CompletionRunner } from './requests/JaymillCompletionRunner.js'
 import { Routing } from './routing/JaymillRouting.js'
+import { AnswerForwardHandler } from './streams/JaymillAnswerForwardHandler.js'
+import { AnswerRouter } from './streams/JaymillAnswerRouter.js'
+import { AnswerService } from './streams/JaymillAnswerService.js'
+import { isAnswerPath } from './streams/JaymillAnswerWire.js'
+import { RemoteAnswers } from './streams/JaymillRemoteAnswers.js'
 
 const REQUESTS_KEPT = 10_000
 const NOT_READY_RETRY_AFTER_MS = 1_000
@@ -42,6 +48,7 @@
   private readonly _owner = new AbortController()
   private readonly _ctx: HostContext
   private readonly _owned: OwnedRequests
+  private readonly _lent: AnswerForwardHandler
   private readonly _callers: CallerServer
   private readonly _admin: AdminServer
   private readonly _config: ConfigDriver
@@ -95,7 +102,9 @@
     }
     this._platform = createHostPlatform(this._ctx, secrets, () => documents.list)
     this._owned = new OwnedRequests(this._ctx, this._owner.signal)
-    this._callers = new CallerServer(this._ctx, this._owned)
+    const answers = new AnswerService(this._ctx, new CompletionRunner(this._ctx))
+    this._lent = new AnswerForwardHandler(this._ctx, answers)
+    this._callers = new CallerServer(this._ctx, this._owned, new AnswerRouter(this._ctx, answers, new RemoteAnswers(this._ctx)))
     this._admin = new AdminServer(this._ctx, readSecret(settings.credentials.adminToken, 'credentials.adminToken', secrets), {
       drain: () => { this.stop().catch(err => this._ctx.log.error('drain failed', { err })) },
       ready: () => this._ready
@@ -113,7 +122,10 @@
       caller: await this._callers.listen(),
       admin: await this._admin.listen(),
       metrics: await this._listenMetrics(),
-      peer: await this._ctx.peers.listen(this._peerHandlers(), (req, res) => forwards.handle(req, res))
+      peer: await this._ctx.peers.listen(this._peerHandlers(), (req, res) => {
+        if (isAnswerPath(req.url)) this._lent.handle(req, res)
+        else forwards.handle(req, res)
+      })
     }
     this._ctx.keys.start(this._owner.signal)
     this._follow(this._owner.signal)
@@ -189,6 +201,7 @@
     this._ctx.log.info('drain started', { running: this._callers.inFlight })
     await this._callers.idle()
     await this._owned.idle()
+    await this._lent.idle()
     clearTimeout(deadline)
     this._ctx.log.info('drain complete')
     this.kill()
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -5,6 +5,7 @@
 import { ErrorKind, fleetIndex, RanState, RequestError, toProblem } from '@jaymill/core'
 import type { OwnedRequests } from '../idempotency/JaymillOwnedRequests.js'
 import type { HostContext } from '../JaymillHostContext.js'
+import type { AnswerRouter } from '../streams/JaymillAnswerRouter.js'
 import { callerSignal, CallerExchange } from './JaymillCallerExchange.js'
 import { authenticate, readCallerHeaders } from './JaymillCallerRequest.js'
 import { COMPLETION_FORMS, CompletionRoute } from './JaymillCompletionRoute.js'
@@ -28,10 +29,11 @@
   /**
    * @param ctx - Shared parts of the host.
    * @param owned - Requests whose keys this host owns.
+   * @param answers - Source of completions.
    */
-  constructor (ctx: HostContext, owned: OwnedRequests) {
+  constructor (ctx: HostContext, owned: OwnedRequests, answers: AnswerRouter) {
     this._ctx = ctx
-    this._completions = new CompletionRoute(ctx)
+    this._completions = new CompletionRoute(ctx, answers)
     this._services = new ServiceRoute(ctx, owned)
     this._server = createServer(
       {
--- a/packages/daemon/src/callers/JaymillCompletionReply.ts
+++ b/packages/daemon/src/callers/JaymillCompletionReply.ts
@@ -36,7 +36,11 @@
   res: ServerResponse, body: CompletionBody, meta: CompletionReplyMeta, events: AsyncIterable<TokenEvent>, signal: AbortSignal
 ): Promise<void> {
   const begin = (): void => {
-    if (!res.headersSent) res.writeHead(200, { 'Content-Type': 'text/event-stream', 'Cache-Control': 'no-store', 'X-Request-Id': meta.requestId })
+    if (res.headersSent) return
+    res.setHeader('Content-Type', 'text/event-stream')
+    res.setHeader('Cache-Control', 'no-store')
+    res.setHeader('X-Request-Id', meta.requestId)
+    res.writeHead(200)
   }
   for await (const event of events) {
     begin()
--- a/packages/daemon/src/requests/JaymillCompletionJob.ts
+++ b/packages/daemon/src/requests/JaymillCompletionJob.ts
@@ -4,8 +4,8 @@
 
 /** What a caller asks for. */
 export interface CompletionOrder {
-  /** Unique in this process. */
-  readonly runId: string
+  /** Id on engines, unique to this run: a caller may use its own id for several requests. */
+  readonly engineRequestId: string
   readonly requestId: string
   /** Key given by the caller, if any. */
   readonly idempotencyKey: string | undefined
--- a/packages/daemon/src/requests/JaymillCompletionRunner.ts
+++ b/packages/daemon/src/requests/JaymillCompletionRunner.ts
@@ -119,7 +119,7 @@
     const prefillMs = expectedPrefillMs(promptTokens)
     const decode = stage === BookingStage.Decode
     const req: BookingRequest = {
-      requestId: job.requestId,
+      requestId: job.engineRequestId,
       attempt: recovery.assembler.attempt,
       stage,
       poolId,
@@ -143,7 +143,7 @@
     const endpoint = fleetIndex(this._ctx.fleet()).endpoint(endpointId)
     return {
       tag: {
-        requestId: job.requestId,
+        requestId: job.engineRequestId,
         attempt: recovery.assembler.attempt,
         hostId: this._ctx.identity.id,
         incarnation: this._ctx.identity.incarnation,
--- a/packages/daemon/src/streams/JaymillAnswerService.ts
+++ b/packages/daemon/src/streams/JaymillAnswerService.ts
@@ -28,16 +28,19 @@
    * @param order - What the caller asks for.
    * @param lastId - Last id that the caller has; 0 for all.
    * @param signal - Aborts when the caller is gone or its deadline has passed.
+   * @param seed - Tokens from 1 to `lastId` that another host generated, to go on from.
    * @returns Tokens after `lastId`, each once.
    * @throws RequestError of kind `Superseded` when a newer connection takes over, or why the answer failed.
    */
-  async * read (order: CompletionOrder, lastId: number, signal: AbortSignal): AsyncGenerator<TokenEvent> {
+  async * read (
+    order: CompletionOrder, lastId: number, signal: AbortSignal, seed: readonly TokenEvent[] = []
+  ): AsyncGenerator<TokenEvent> {
     const key = keyOf(order)
-    if (lastId > 0 && !this._store.has(key)) {
+    if (lastId > seed.length && !this._store.has(key)) {
       throw new RequestError(ErrorKind.NotFound, 'this host does not hold the answer', { ran: RanState.Unknown })
     }
     const opened = this._store.open(key, printOf(order), this._ctx.clock.nowMs())
-    if (opened.join !== AnswerJoin.Joined) this._start(order, key, opened)
+    if (opened.join !== AnswerJoin.Joined) this._start(order, key, opened, seed)
     else order.record.decide(RequestEvent.Admit, 'joined the answer of an earlier connection', this._ctx.clock.nowMs())
     yield * this._follow(opened.buffer, lastId, signal)
   }
@@ -62,9 +65,9 @@
     }
   }
 
-  private _start (order: CompletionOrder, key: string, opened: OpenedAnswer): void {
+  private _start (order: CompletionOrder, key: string, opened: OpenedAnswer, seed: readonly TokenEvent[]): void {
     const { buffer, previous } = opened
-    const prefix = previous?.after(0) ?? []
+    const prefix = previous?.after(0) ?? seed
     prefix.forEach(token => buffer.append(token))
     const ctl = new AbortController()
     this._runs.set(buffer, ctl)
@@ -93,7 +96,7 @@
 }
 
 function keyOf (order: CompletionOrder): string {
-  return order.idempotencyKey === undefined ? `run/${order.runId}` : `key/${order.account.id}/${order.idempotencyKey}`
+  return order.idempotencyKey === undefined ? `run/${order.engineRequestId}` : `key/${order.account.id}/${order.idempotencyKey}`
 }
 
 function printOf (order: CompletionOrder): string {
--- a/packages/settings/src/JaymillFleetChecks.ts
+++ b/packages/settings/src/JaymillFleetChecks.ts
@@ -29,6 +29,7 @@
     ...[...models, ...paths].flatMap(item => reference(item, 'route', routes, 'route')),
     ...models.flatMap(model => poolReference(model, 'prefillPool', pools, [PoolRole.Prefill, PoolRole.Both])),
     ...models.flatMap(model => poolReference(model, 'decodePool', pools, [PoolRole.Decode, PoolRole.Both])),
+    ...models.flatMap(model => modelRoute(model, routes)),
     ...services.flatMap(service => poolReference(service, 'pool', pools, [PoolRole.Service])),
     ...routes.flatMap(routeRules),
     ...pools.flatMap(poolRules),
@@ -106,6 +107,12 @@
   return [{ path: [...item.path, field], message }]
 }
 
+function modelRoute (model: Item, routes: readonly Item[]): Finding[] {
+  const route = routes.find(candidate => candidate.value.id === model.value.route)
+  if (route?.value.idempotent !== false) return []
+  return [{ path: [...model.path, 'route'], message: 'must be idempotent, since an answer may go on at another endpoint' }]
+}
+
 function routeRules (route: Item): Finding[] {
   const { idempotent, hedging, ttftMs, deadlineMs } = route.value
   const hedged = idempotent === false && hedging === true
