--- a/packages/adapters/src/endpoints/JaymillUndiciEngineClient.ts
+++ b/packages/adapters/src/endpoints/JaymillUndiciEngineClient.ts
@@ -32,6 +32,17 @@
 type RequestOptions = Dispatcher.RequestOptions
 type BuildRequest = (signal: AbortSignal) => RequestOptions
 
+/** How one connection of a stream is opened. */
+interface StreamOpening {
+  /** Last id, as the engine counts, that has arrived. */
+  readonly lastId: number
+  /** Silence allowed before the first token, in milliseconds. */
+  readonly firstMs: number
+  readonly build: BuildRequest
+  /** Kind of failure that status 404 means. */
+  readonly missing?: ErrorKind
+}
+
 /** Engine client over HTTP/1.1 (`undici`), as docs/design/engine-protocol.md describes. */
 export class UndiciEngineClient extends EngineClient {
   private readonly _pools: EndpointPools
@@ -79,7 +90,8 @@
 
   /** {@inheritDoc EngineClient.decode} */
   decode (call: EngineCall, kv: KvTransferParams | null, signal: AbortSignal): AsyncIterable<TokenEvent> {
-    return this._stream(call, 0, both => post(call, decodeBody(call, kv), both), signal)
+    const build: BuildRequest = both => post(call, decodeBody(call, kv), both)
+    return this._stream(call, { lastId: 0, firstMs: this._paceOf(call).firstTokenMs, build }, signal)
   }
 
   /** {@inheritDoc EngineClient.resume} */
@@ -88,7 +100,8 @@
     const headers = { ...tagHeaders(call.tag), [EngineHeader.LastEventId]: String(lastEventId) }
     const path = `/v1/requests/${encodeURIComponent(call.tag.requestId)}/stream`
     const build: BuildRequest = both => ({ method: 'GET', path, headers, signal: both, headersTimeout: 0, bodyTimeout: 0 })
-    return this._stream(call, lastEventId, build, signal, ErrorKind.NotFound)
+    const firstMs = this._paceOf(call).interTokenMs
+    return this._stream(call, { lastId: lastEventId, firstMs, build, missing: ErrorKind.NotFound }, signal)
   }
 
   /** {@inheritDoc EngineClient.probe} */
@@ -137,9 +150,7 @@
     return this._canceller.settled()
   }
 
-  private async * _stream (
-    call: EngineCall, lastId: number, build: BuildRequest, signal: AbortSignal, missing?: ErrorKind
-  ): AsyncGenerator<TokenEvent> {
+  private async * _stream (call: EngineCall, opening: StreamOpening, signal: AbortSignal): AsyncGenerator<TokenEvent> {
     const exchange = new Exchange()
     const ctl = new AbortController()
     const both = AbortSignal.any([signal, ctl.signal])
@@ -147,10 +158,10 @@
     const pool = this._pools.pool(call.url)
     let settled = false
     try {
-      timer.wait(this._paceOf(call).firstTokenMs)
-      const res = await exchange.request(pool, build(both))
-      await checkStatus(res, call.endpointId, missing)
-      for await (const token of this._tokens(res, call, lastId, timer)) {
+      timer.wait(opening.firstMs)
+      const res = await exchange.request(pool, opening.build(both))
+      await checkStatus(res, call.endpointId, opening.missing)
+      for await (const token of this._tokens(res, call, opening.lastId, timer)) {
         settled ||= token.finishReason !== null
         yield token
       }
--- a/packages/bench/src/standins/JaymillEngineStandIn.ts
+++ b/packages/bench/src/standins/JaymillEngineStandIn.ts
@@ -46,6 +46,7 @@
   private readonly _exported = new Map<string, { pieces: number, requestId: string, attempt: number, timer: NodeJS.Timeout }>()
   private _cancelled = 0
   private _paceFactor = 1
+  private _stallsTransfers = false
   private _killOnPrompt: string | undefined
   private _order: Record<string, unknown> = { fencingToken: 0 }
 
@@ -82,6 +83,15 @@
     this._paceFactor = factor
   }
 
+  /**
+   * Makes transfers of prefill results out of this engine hang.
+   *
+   * @param stalls - Whether they hang.
+   */
+  stallTransfers (stalls: boolean): void {
+    this._stallsTransfers = stalls
+  }
+
   /**
    * Makes the engine die whenever it runs a prompt that contains a text.
    *
@@ -188,6 +198,7 @@
   }
 
   private _take (block: string, res: ServerResponse): void {
+    if (this._stallsTransfers) return
     const taken = this._exported.get(decodeURIComponent(block))
     clearTimeout(taken?.timer)
     this._exported.delete(decodeURIComponent(block))
@@ -225,11 +236,11 @@
     res.once('close', () => this._wake(generation))
     let sent = after
     while (!res.destroyed) {
-      if (sent < generation.tokens.length && !this.frozen) {
+      if (sent < generation.tokens.length && !this.silent(res)) {
         const last = sent + 1 === generation.maxTokens
         const choice = { index: 0, text: generation.tokens[sent], finish_reason: last ? 'length' : null }
         res.write(`id: ${++sent}\ndata: ${JSON.stringify({ choices: [choice] })}\n\n`)
-      } else if (generation.done && sent >= generation.tokens.length) {
+      } else if (generation.done && !this.silent(res)) {
         break
       } else {
         await new Promise<void>(resolve => generation.wake.push(resolve))
--- a/packages/bench/src/standins/JaymillStandInServer.ts
+++ b/packages/bench/src/standins/JaymillStandInServer.ts
@@ -12,6 +12,8 @@
 export abstract class StandInServer {
   private readonly _server: Server
   private _frozen = false
+  private readonly _open = new Set<ServerResponse>()
+  private readonly _muted = new WeakSet<ServerResponse>()
   protected readonly received: ReceivedCall[] = []
 
   constructor () {
@@ -50,6 +52,11 @@
     this._frozen = true
   }
 
+  /** Stops sending on the connections that are open now; new ones work. */
+  mute (): void {
+    this._open.forEach(res => this._muted.add(res))
+  }
+
   /** Serves again. */
   thaw (): void {
     this._frozen = false
@@ -61,6 +68,14 @@
    */
   protected abstract handle (req: IncomingMessage, res: ServerResponse): Promise<void>
 
+  /**
+   * @param res - Response.
+   * @returns Whether nothing more may be sent on it.
+   */
+  protected silent (res: ServerResponse): boolean {
+    return this._frozen || this._muted.has(res)
+  }
+
   /**
    * Notes a call in the order of arrival.
    *
@@ -74,6 +89,8 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this._open.add(res)
+    res.once('close', () => this._open.delete(res))
     try {
       if (!this._frozen) await this.handle(req, res)
     } catch {
--- a/packages/daemon/src/requests/JaymillCompletionRunner.ts
+++ b/packages/daemon/src/requests/JaymillCompletionRunner.ts
@@ -3,7 +3,7 @@
 } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { AnswerRecovery } from '../streams/JaymillAnswerRecovery.js'
-import { expectedPrefillMs, paceOf } from '../streams/JaymillPaceWatch.js'
+import { expectedPrefillMs, expectedTransferMs, paceOf } from '../streams/JaymillPaceWatch.js'
 import { CompletionJob, estimateTokens, piecesOf } from './JaymillCompletionJob.js'
 
 const PRIORITIES = Object.values(RouteClass)
@@ -60,7 +60,7 @@
         yield token
       }
     } finally {
-      if (held !== null) this._ctx.engines.abandon(held.call.url, held.call.tag)
+      if (held !== null) recovery.prefillUnused(held.call)
       this._ctx.booker.release(decode)
     }
   }
@@ -70,7 +70,7 @@
     const booking = await this._book(job, recovery, BookingStage.Prefill, job.model.prefillPool, signal)
     const { attempt } = recovery.assembler
     job.record.decide(RequestEvent.Prefill, `attempt ${attempt}`, this._ctx.clock.nowMs(), booking.endpointId)
-    const call = this._call(job, recovery, booking.endpointId)
+    const call = this._call(job, recovery, booking.endpointId, expectedPrefillMs(estimateTokens(job.prompt)))
     const run = this._runs(job, booking)
     const startedMs = this._ctx.clock.nowMs()
     try {
@@ -93,12 +93,19 @@
     job.record.decide(RequestEvent.Decode, `attempt ${attempt}`, this._ctx.clock.nowMs(), booking.endpointId)
     const run = this._runs(job, booking)
     try {
-      yield * recovery.tokens(this._call(job, recovery, booking.endpointId), kv, signal)
+      yield * recovery.tokens(this._call(job, recovery, booking.endpointId, this._firstTokenMs(job, kv)), kv, signal)
     } finally {
       run.abort()
     }
   }
 
+  private _firstTokenMs (job: CompletionJob, kv: KvTransferParams | null): number {
+    const promptTokens = estimateTokens(job.prompt)
+    if (kv === null) return Math.max(job.route.ttftMs, expectedPrefillMs(promptTokens))
+    const { linkBytesPerSecond } = fleetIndex(this._ctx.fleet()).pool(job.model.decodePool)
+    return expectedTransferMs(promptTokens, job.model, linkBytesPerSecond) + job.route.interTokenMs
+  }
+
   private _runs (job: CompletionJob, booking: Booking): AbortController {
     const run = new AbortController()
     this._ctx.health.quarantine.running(job.fingerprint, booking.endpointId, run.signal)
@@ -139,7 +146,7 @@
     return booking
   }
 
-  private _call (job: CompletionJob, recovery: AnswerRecovery, endpointId: string): EngineCall {
+  private _call (job: CompletionJob, recovery: AnswerRecovery, endpointId: string, firstTokenMs: number): EngineCall {
     const endpoint = fleetIndex(this._ctx.fleet()).endpoint(endpointId)
     return {
       tag: {
@@ -158,7 +165,7 @@
       maxTokens: job.maxTokens,
       priority: PRIORITIES.indexOf(job.route.class),
       sampling: job.sampling,
-      pace: paceOf(job.route, estimateTokens(job.prompt), job.deadlineAtMs - this._ctx.clock.nowMs())
+      pace: paceOf(job.route, firstTokenMs, job.deadlineAtMs - this._ctx.clock.nowMs())
     }
   }
 }
--- a/packages/daemon/src/streams/JaymillAnswerRecovery.ts
+++ b/packages/daemon/src/streams/JaymillAnswerRecovery.ts
@@ -92,6 +92,16 @@
     this._step = this._planner.failed(failure, false)
   }
 
+  /**
+   * Frees a prefill result that gave no token; the next attempt prefills elsewhere, in case its transfer had stalled.
+   *
+   * @param call - The prefill.
+   */
+  prefillUnused (call: EngineCall): void {
+    this._failed.push(call.endpointId)
+    this._ctx.engines.abandon(call.url, call.tag)
+  }
+
   /**
    * Decides how to go on after a failed attempt.
    *
--- a/packages/daemon/src/streams/JaymillPaceWatch.ts
+++ b/packages/daemon/src/streams/JaymillPaceWatch.ts
@@ -1,6 +1,6 @@
-import { PaceMeasure, RouteConfig, StreamPace, stallPace, Clock } from '@jaymill/core'
+import { Clock, ModelConfig, PaceMeasure, RouteConfig, stallPace, StreamPace } from '@jaymill/core'
 import type { HostHealth } from '../health/JaymillHostHealth.js'
-import { OBSERVE_EVERY_TOKENS, PREFILL_BASE_MS, PREFILL_MS_PER_TOKEN } from './constants.js'
+import { MS_PER_SECOND, OBSERVE_EVERY_TOKENS, PREFILL_BASE_MS, PREFILL_MS_PER_TOKEN } from './constants.js'
 
 /**
  * @param promptTokens - Length of the prompt.
@@ -12,15 +12,25 @@
 
 /**
  * @param route - Targets of the request.
- * @param promptTokens - Length of the prompt.
+ * @param firstTokenMs - Expected time to the first token of this call, in milliseconds.
  * @param remainingMs - Time left until the deadline, in milliseconds.
  * @returns Silence that counts as a stall.
  */
-export function paceOf (route: RouteConfig, promptTokens: number, remainingMs: number): StreamPace {
-  const firstTokenMs = Math.max(route.ttftMs, expectedPrefillMs(promptTokens))
+export function paceOf (route: RouteConfig, firstTokenMs: number, remainingMs: number): StreamPace {
   return stallPace({ firstTokenMs, interTokenMs: route.interTokenMs, remainingMs })
 }
 
+/**
+ * @param promptTokens - Length of the prompt.
+ * @param model - Model, which sets the bytes for each token.
+ * @param linkBytesPerSecond - Rate of the KV link; 0 when there is none.
+ * @returns Expected time to move the prompt's KV cache, in milliseconds.
+ */
+export function expectedTransferMs (promptTokens: number, model: ModelConfig, linkBytesPerSecond: number): number {
+  if (linkBytesPerSecond === 0) return 0
+  return promptTokens * model.kvBytesPerToken / linkBytesPerSecond * MS_PER_SECOND
+}
+
 /** Times one stream and reports its pace to the health room. */
 export class PaceWatch {
   private readonly _health: HostHealth
