Take only a dead endpoint as a death, not one that has forgotten a request

Under load the test of stalled transfers failed: an engine that waits for a transfer does not know the request yet, its 404 to a resume was counted as a death, and two such answers quarantined an innocent request.

Only an endpoint that fails its probe counts. The test now shows the problem document when it fails.

--- a/packages/bench/src/__tests__/failure/JaymillStreams.test.ts
+++ b/packages/bench/src/__tests__/failure/JaymillStreams.test.ts
@@ -68,6 +68,7 @@
     await startFleet(2)
     fleet.prefill[0]?.stallTransfers(true)
     const answers = await Promise.all([1, 2].map(async () => await caller.stream(PROMPT, TOKENS)))
+    expect(answers.map(answer => answer.problem)).toEqual([undefined, undefined])
     expect(answers.map(answer => isWhole(PROMPT, TOKENS, answer))).toEqual([true, true])
     await until('memory freed', () => held() === 0)
   })
--- a/packages/daemon/src/streams/JaymillAnswerRecovery.ts
+++ b/packages/daemon/src/streams/JaymillAnswerRecovery.ts
@@ -152,7 +152,6 @@
   private async _afterBreak (call: EngineCall, err: JaymillError, signal: AbortSignal): Promise<RecoveryStep> {
     signal.throwIfAborted()
     this._step = this._planner.failed(err, true)
-    if (err.kind === ErrorKind.NotFound) this._ctx.health.died(call.endpointId)
     if (this._step === RecoveryStep.Probe) {
       this._step = this._planner.probed(await this._ctx.health.probe(call.endpointId, call.url, signal))
     }
