Bound request bodies and queues by the settings, and drop a setting that did nothing

Cause: limits.queueRequests, queueBytes and peerMessageBytes were accepted but had no effect; bodies of waiting requests could fill the memory of a host.

Change: a body budget shared by all requests, given back when the response closes; the queue bound reaches the admission queues; peerMessageBytes is gone, since peer messages have fixed bounds. A refused body of a request with an idempotency key leaves its state unknown, because another copy may have run.

--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -4,6 +4,7 @@
 import type { Logger } from 'winston'
 import { revisionOf } from './admin/JaymillAdminRouter.js'
 import { AdminServer } from './admin/JaymillAdminServer.js'
+import { BodyBudget } from './callers/JaymillBodyBudget.js'
 import { CallerServer } from './callers/JaymillCallerServer.js'
 import { ConfigDriver } from './config/JaymillConfigDriver.js'
 import { createHostPlatform } from './config/JaymillHostPlatform.js'
@@ -86,12 +87,13 @@
       hosts: () => documents.hosts()
     }
     const knownLeaving = (): HostList => this._membership.list()
-    this._routing = new Routing({ ...shared, hosts: knownLeaving, weightOf: (poolId, endpointId) => health.weight(poolId, endpointId) })
+    this._routing = new Routing({ ...shared, hosts: knownLeaving, maxQueued: settings.limits.queueRequests, weightOf: (poolId, endpointId) => health.weight(poolId, endpointId) })
     this._ctx = {
       ...shared,
       settings,
       metrics: new HostMetrics(),
       burn: new BurnRecorder(),
+      bodies: new BodyBudget(settings.limits.queueBytes),
       requests: new RequestLog(REQUESTS_KEPT, decisionLogger(log)),
       health,
       services: new HttpServiceClient({ signal: this._owner.signal }),
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -4,6 +4,7 @@
 import type { HttpServiceClient } from '@jaymill/adapters'
 import type { HostSettings } from '@jaymill/settings'
 import type { Logger } from 'winston'
+import type { BodyBudget } from './callers/JaymillBodyBudget.js'
 import type { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
 import type { HostMetrics } from './metrics/JaymillHostMetrics.js'
 import type { HostHealth } from './health/JaymillHostHealth.js'
@@ -18,6 +19,7 @@
   readonly log: Logger
   readonly metrics: HostMetrics
   readonly burn: BurnRecorder
+  readonly bodies: BodyBudget
   readonly requests: RequestLog
   readonly engines: EngineClient
   readonly services: HttpServiceClient
--- a/packages/daemon/src/callers/JaymillBody.ts
+++ b/packages/daemon/src/callers/JaymillBody.ts
@@ -1,20 +1,27 @@
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { ErrorKind, RequestError } from '@jaymill/core'
+import type { HostContext } from '../JaymillHostContext.js'
 
 /**
  * Reads a bounded body.
  *
  * @param req - Request of a caller or peer.
- * @param maxBytes - Largest body accepted.
+ * @param res - Its response; the bytes count as held until it closes.
+ * @param ctx - Limits and budget of the host.
  * @returns The bytes.
- * @throws RequestError of kind `TooLarge`.
+ * @throws RequestError of kind `TooLarge` or `Overloaded`.
  */
-export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer> {
+export async function readBody (
+  req: IncomingMessage, res: ServerResponse, { settings, bodies }: Pick<HostContext, 'settings' | 'bodies'>
+): Promise<Buffer> {
+  const maxBytes = settings.limits.bodyBytes
+  const hold = bodies.hold(req, res)
   const chunks: Buffer[] = []
   let size = 0
   for await (const chunk of req as AsyncIterable<Buffer>) {
     size += chunk.length
     if (size > maxBytes) throw new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
+    hold(chunk.length)
     chunks.push(chunk)
   }
   return Buffer.concat(chunks)
--- /dev/null
+++ b/packages/daemon/src/callers/JaymillBodyBudget.ts
@@ -0,0 +1,48 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { ErrorKind, RanState, RequestError } from '@jaymill/core'
+
+const RETRY_AFTER_MS = 1_000
+
+/** Bounds the request bodies that a host holds in memory together. */
+export class BodyBudget {
+  private readonly _maxBytes: number
+  private _heldBytes = 0
+
+  /**
+   * @param maxBytes - Bytes of all held bodies together.
+   */
+  constructor (maxBytes: number) {
+    this._maxBytes = maxBytes
+  }
+
+  /** Bytes held now. */
+  get heldBytes (): number {
+    return this._heldBytes
+  }
+
+  /**
+   * Starts to hold a body, until its response has ended or its caller is gone.
+   *
+   * @param req - Request whose body is read.
+   * @param res - Its response.
+   * @returns Takes further bytes; throws RequestError of kind `Overloaded` when the bound is reached. Another copy of a
+   * request with an idempotency key may have run, so its state is then unknown.
+   */
+  hold (req: IncomingMessage, res: ServerResponse): (bytes: number) => void {
+    let held = 0
+    res.once('close', () => {
+      this._heldBytes -= held
+      held = 0
+    })
+    return bytes => {
+      if (this._heldBytes + bytes > this._maxBytes) throw this._refusal(req)
+      this._heldBytes += bytes
+      held += bytes
+    }
+  }
+
+  private _refusal (req: IncomingMessage): RequestError {
+    const ran = req.headers['idempotency-key'] === undefined ? RanState.No : RanState.Unknown
+    return new RequestError(ErrorKind.Overloaded, 'the bodies of waiting requests fill their memory', { ran, retryAfterMs: RETRY_AFTER_MS })
+  }
+}
--- a/packages/daemon/src/callers/JaymillCompletionRoute.ts
+++ b/packages/daemon/src/callers/JaymillCompletionRoute.ts
@@ -43,8 +43,8 @@
     await endRecord(this._ctx, record, () => this._serve(exchange, req, record))
   }
 
-  private async _read ({ req, headers, account }: CallerExchange, form: CompletionForm): Promise<CompletionRequest> {
-    const raw = await readBody(req, this._ctx.settings.limits.bodyBytes)
+  private async _read ({ req, res, headers, account }: CallerExchange, form: CompletionForm): Promise<CompletionRequest> {
+    const raw = await readBody(req, res, this._ctx)
     return {
       requestId: headers.requestId,
       ...(headers.idempotencyKey === undefined ? {} : { idempotencyKey: headers.idempotencyKey }),
--- a/packages/daemon/src/idempotency/JaymillForwardServer.ts
+++ b/packages/daemon/src/idempotency/JaymillForwardServer.ts
@@ -41,10 +41,10 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    await this._owned.serve(await this._arrival(req).catch((err: unknown) => { throw asUndecided(err) }), res)
+    await this._owned.serve(await this._arrival(req, res).catch((err: unknown) => { throw asUndecided(err) }), res)
   }
 
-  private async _arrival (req: IncomingMessage): Promise<KeyedArrival> {
+  private async _arrival (req: IncomingMessage, res: ServerResponse): Promise<KeyedArrival> {
     this._ctx.requireReady()
     const headers = forwardedHeaders(req)
     const path = (req.url ?? '').slice(FORWARD_PREFIX.length)
@@ -59,7 +59,7 @@
       method,
       path,
       headers: Object.fromEntries(Object.entries(headers).filter(([name]) => !INTERNAL.includes(name))),
-      body: await readBody(req, this._ctx.settings.limits.bodyBytes)
+      body: await readBody(req, res, this._ctx)
     }
   }
 }
--- a/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
@@ -56,7 +56,7 @@
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: forwardedHeaders(req),
-      body: await readBody(req, this._ctx.settings.limits.bodyBytes),
+      body: await readBody(req, exchange.res, this._ctx),
       record
     }
   }
--- a/packages/daemon/src/routing/JaymillPoolQueue.ts
+++ b/packages/daemon/src/routing/JaymillPoolQueue.ts
@@ -2,6 +2,7 @@
   AdmissionDenial, AdmissionItem, AdmissionQueue, Booking, BookingRequest, Clock, ErrorKind, JaymillError, Random, RequestError,
   SlotBooker
 } from '@jaymill/core'
+import type { RoutingParts } from './JaymillRoutingParts.js'
 import { BOOKINGS_IN_FLIGHT, BOOK_RETRY_MS } from './JaymillRoutingTimes.js'
 
 /** A request that waits for a booking. */
@@ -14,7 +15,7 @@
 
 /** Admission queue before one pool: books for waiting requests in their order, and refuses what would be late. */
 export class PoolQueue {
-  private readonly _queue = new AdmissionQueue<WaitingBooking>()
+  private readonly _queue: AdmissionQueue<WaitingBooking>
   private readonly _booker: SlotBooker
   private readonly _clock: Clock
   private readonly _random: Random
@@ -22,10 +23,10 @@
 
   /**
    * @param booker - Books at the owners.
-   * @param clock - Time.
-   * @param random - Spreads retries.
+   * @param parts - Time, randomness that spreads retries, and the bound of the queue.
    */
-  constructor (booker: SlotBooker, clock: Clock, random: Random) {
+  constructor (booker: SlotBooker, { clock, random, maxQueued }: Pick<RoutingParts, 'clock' | 'random' | 'maxQueued'>) {
+    this._queue = new AdmissionQueue(maxQueued)
     this._booker = booker
     this._clock = clock
     this._random = random
--- a/packages/daemon/src/routing/JaymillQueuedSlotBooker.ts
+++ b/packages/daemon/src/routing/JaymillQueuedSlotBooker.ts
@@ -53,7 +53,7 @@
   }
 
   private _queueOf (poolId: string): PoolQueue {
-    const queue = this._queues.get(poolId) ?? new PoolQueue(this._booker, this._parts.clock, this._parts.random)
+    const queue = this._queues.get(poolId) ?? new PoolQueue(this._booker, this._parts)
     this._queues.set(poolId, queue)
     return queue
   }
--- a/packages/daemon/src/routing/JaymillRoutingParts.ts
+++ b/packages/daemon/src/routing/JaymillRoutingParts.ts
@@ -12,6 +12,8 @@
   readonly peers: PeerNetwork
   readonly fleet: () => FleetConfig
   readonly hosts: () => HostList
+  /** Requests of one class that may wait before one pool. */
+  readonly maxQueued: number
   /** Share of work an endpoint should get by its health, 0 to 1. */
   readonly weightOf: (poolId: string, endpointId: string) => number
 }
--- a/packages/daemon/src/streams/JaymillAnswerForwardHandler.ts
+++ b/packages/daemon/src/streams/JaymillAnswerForwardHandler.ts
@@ -45,7 +45,7 @@
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this._ctx.draining()) throw new RequestError(ErrorKind.Stopping, 'this host is stopping')
-    const value = parseJson(await readBody(req, this._ctx.settings.limits.bodyBytes))
+    const value = parseJson(await readBody(req, res, this._ctx))
     const parsed = completionRequestSchema.safeParse(value)
     if (!parsed.success) throw new RequestError(ErrorKind.BadRequest, 'a forwarded completion is malformed', { cause: parsed.error })
     const record = openRecord(this._ctx, parsed.data)
--- a/packages/settings/src/JaymillHostSettings.ts
+++ b/packages/settings/src/JaymillHostSettings.ts
@@ -56,9 +56,8 @@
   bodyBytes: countField(1, Unit.Bytes, 'Largest request body that is held in memory.').default(DEFAULTS.bodyBytes),
   callerStallMs: countField(10, Unit.Milliseconds, 'Time for which a caller may read nothing before it counts as gone.')
     .default(DEFAULTS.callerStallMs),
-  queueRequests: countField(1, Unit.Requests, 'Requests that wait for capacity.').default(DEFAULTS.queueRequests),
-  queueBytes: countField(1, Unit.Bytes, 'Bodies of waiting requests together.').default(DEFAULTS.queueBytes),
-  peerMessageBytes: countField(1_024, Unit.Bytes, 'Largest message between hosts.').default(DEFAULTS.peerMessageBytes),
+  queueRequests: countField(1, Unit.Requests, 'Requests of one class that may wait before one pool.').default(DEFAULTS.queueRequests),
+  queueBytes: countField(1, Unit.Bytes, 'Request bodies held in memory together.').default(DEFAULTS.queueBytes),
   clockSkewMs: countField(0, Unit.Milliseconds, 'Largest difference between two clocks of the fleet.')
     .default(DEFAULTS.clockSkewMs),
   keyRecordMs: countField(1_000, Unit.Milliseconds, 'Time for which the outcome of an idempotency key is remembered.')
--- a/packages/settings/src/constants.ts
+++ b/packages/settings/src/constants.ts
@@ -14,7 +14,6 @@
   callerStallMs: 10_000,
   queueRequests: 512,
   queueBytes: 67_108_864,
-  peerMessageBytes: 1_048_576,
   clockSkewMs: 250,
   keyRecordMs: 900_000,
   keyRecords: 100_000,
