Retry and hedge idempotent lookups inside their budgets

A lookup at a dead or silent endpoint failed or waited for its deadline, though it may run anywhere.

Idempotent calls without a body are sent again after a failure, within the route's retry budget, and hedged after the route's own p95, within the hedge budget; the first answer wins and the other copy is cancelled. Calls of plain services feed the pace of their endpoints; a cancelled copy counts as slow, so that a straggler keeps samples.

Measured over TCP: with one of two service endpoints silent 8 of 8 lookups are answered (no timeout waited for), with one dead 8 of 8, and every refused booking says not run (npm test).

--- a/packages/daemon/src/callers/JaymillServiceCall.ts
+++ b/packages/daemon/src/callers/JaymillServiceCall.ts
@@ -1,8 +1,11 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { ServiceAnswer } from '@jaymill/adapters'
-import { Booking, BookingStage, ErrorKind, fleetIndex, RanState, RequestError, RouteClass, ServiceMatch } from '@jaymill/core'
+import { Booking, BookingStage, ErrorKind, fleetIndex, JaymillError, RanState, RequestError, RouteClass, ServiceMatch } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
+import { PaceWatch } from '../streams/JaymillPaceWatch.js'
 
+/** Ends of a call that show only that it took long. */
+const SLOW_KINDS: readonly ErrorKind[] = [ErrorKind.Superseded, ErrorKind.Deadline, ErrorKind.Stalled]
 const PRIORITIES = Object.values(RouteClass)
 const DROPPED_HEADERS: readonly string[] = [
   'authorization', 'connection', 'content-length', 'expect', 'host', 'keep-alive', 'proxy-authorization',
@@ -21,6 +24,16 @@
   readonly body: Buffer | AsyncIterable<Uint8Array> | null
 }
 
+/** Which copy of a call is booked. */
+export interface ServiceCopy {
+  /** From 1. */
+  readonly attempt: number
+  /** Endpoints that other copies have used. */
+  readonly exclude: readonly string[]
+}
+
+const FIRST_COPY: ServiceCopy = { attempt: 1, exclude: [] }
+
 /**
  * Books a slot on an endpoint of a service.
  *
@@ -29,21 +42,23 @@
  * @param accountId - Account of the caller.
  * @param match - Service and route.
  * @param signal - Gives up.
+ * @param copy - Which copy of the call it is for.
  * @returns The booking; it must be released.
  */
 export async function bookService (
-  ctx: HostContext, requestId: string, accountId: string, { service, route }: ServiceMatch, signal: AbortSignal
+  ctx: HostContext, requestId: string, accountId: string, { service, route }: ServiceMatch, signal: AbortSignal,
+  copy = FIRST_COPY
 ): Promise<Booking> {
   return await ctx.booker.book({
     requestId,
-    attempt: 1,
+    attempt: copy.attempt,
     stage: BookingStage.Service,
     poolId: service.pool,
     pieces: 0,
     transferBytes: 0,
     startInMs: 0,
     expectedMs: route.ttftMs,
-    exclude: [],
+    exclude: copy.exclude,
     prefer: [],
     priority: PRIORITIES.indexOf(route.class),
     accountId,
@@ -67,7 +82,18 @@
   const { id: hostId, incarnation } = ctx.identity
   const key = send.idempotencyKey === undefined ? {} : { idempotencyKey: send.idempotencyKey }
   const tag = { requestId: send.requestId, attempt: 1, hostId, incarnation, ...key }
-  return await ctx.services.send({ ...send, url, body: streamOf(send.body), tag }, signal)
+  const watch = new PaceWatch(ctx.health, ctx.clock, send.match.route, booking.endpointId)
+  const call = ctx.services.send({ ...send, url, body: streamOf(send.body), tag }, signal)
+  return await call.then(
+    answer => { watch.token(); return answer },
+    (err: unknown) => { noteFailure(ctx, watch, booking, err); throw err }
+  )
+}
+
+function noteFailure (ctx: HostContext, watch: PaceWatch, booking: Booking, err: unknown): void {
+  const kind = err instanceof JaymillError ? err.kind : ErrorKind.Invariant
+  if (SLOW_KINDS.includes(kind)) watch.silence()
+  else if (kind !== ErrorKind.CallerGone) ctx.health.scorer.failed(booking.endpointId)
 }
 
 /**
--- a/packages/daemon/src/callers/JaymillServiceRoute.ts
+++ b/packages/daemon/src/callers/JaymillServiceRoute.ts
@@ -1,12 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ServiceAnswer } from '@jaymill/adapters'
-import { Booking, RequestEvent, RequestRecord, ServiceMatch } from '@jaymill/core'
+import { RequestEvent, RequestRecord, ServiceMatch } from '@jaymill/core'
+import { RepeatableCall } from '../health/JaymillRepeatableCall.js'
 import { KeyedRequests } from '../idempotency/JaymillKeyedRequests.js'
 import type { OwnedRequests } from '../idempotency/JaymillOwnedRequests.js'
 import type { HostContext } from '../JaymillHostContext.js'
 import { endRecord } from '../requests/JaymillRecordEnd.js'
 import { CallerExchange, withDeadline, writeToCaller } from './JaymillCallerExchange.js'
-import { answerHeaders, bookService, callService, forwardedHeaders } from './JaymillServiceCall.js'
+import { answerHeaders, bookService, callService, forwardedHeaders, ServiceSend } from './JaymillServiceCall.js'
 
 /** Serves plain services. */
 export class ServiceRoute {
@@ -45,31 +46,48 @@
     const owner = new AbortController()
     const { signal } = withDeadline(exchange, match.route, owner.signal)
     record.decide(RequestEvent.Admit, 'admitted', this._ctx.clock.nowMs())
+    try {
+      if (hasBody(exchange.req)) await this._once(exchange, match, record, signal)
+      else await this._repeatably(exchange, match, record, signal)
+    } finally {
+      owner.abort()
+    }
+  }
+
+  private async _once (exchange: CallerExchange, match: ServiceMatch, record: RequestRecord, signal: AbortSignal): Promise<void> {
     const booking = await bookService(this._ctx, exchange.headers.requestId, exchange.account.id, match, signal)
     record.decide(RequestEvent.Execute, `owner ${booking.ownerId}`, this._ctx.clock.nowMs(), booking.endpointId)
     try {
-      await this._send(exchange, match, booking, record, signal)
+      await this._reply(exchange, record, await callService(this._ctx, sendOf(exchange, match), booking, signal), signal)
     } finally {
       this._ctx.booker.release(booking)
-      owner.abort()
     }
   }
 
-  private async _send (
-    exchange: CallerExchange, match: ServiceMatch, booking: Booking, record: RequestRecord, signal: AbortSignal
-  ): Promise<void> {
-    const { req, res, headers: { requestId, idempotencyKey } } = exchange
-    const reply = await callService(this._ctx, {
-      requestId,
-      idempotencyKey,
-      match,
-      method: req.method ?? 'GET',
-      path: req.url ?? '/',
-      headers: forwardedHeaders(req),
-      body: hasBody(req) ? req : null
-    }, booking, signal)
+  private async _repeatably (exchange: CallerExchange, match: ServiceMatch, record: RequestRecord, signal: AbortSignal): Promise<void> {
+    const call = new RepeatableCall(this._ctx, sendOf(exchange, match), exchange.account.id, record)
+    try {
+      await this._reply(exchange, record, await call.answer(signal), signal)
+    } finally {
+      call.release()
+    }
+  }
+
+  private async _reply (exchange: CallerExchange, record: RequestRecord, reply: ServiceAnswer, signal: AbortSignal): Promise<void> {
     record.noteTokens(this._ctx.clock.nowMs(), 0)
-    await pipeReply(res, reply, requestId, this._ctx.settings.limits.callerStallMs, signal)
+    await pipeReply(exchange.res, reply, exchange.headers.requestId, this._ctx.settings.limits.callerStallMs, signal)
+  }
+}
+
+function sendOf ({ req, headers }: CallerExchange, match: ServiceMatch): ServiceSend {
+  return {
+    requestId: headers.requestId,
+    idempotencyKey: headers.idempotencyKey,
+    match,
+    method: req.method ?? 'GET',
+    path: req.url ?? '/',
+    headers: forwardedHeaders(req),
+    body: hasBody(req) ? req : null
   }
 }
 
