--- a/packages/core/src/burn/JaymillBurnRecorder.ts
+++ b/packages/core/src/burn/JaymillBurnRecorder.ts
@@ -46,6 +46,14 @@
     series.flatMap(({ counters }) => counters).forEach(counter => counter.add(isBad, nowMs))
   }
 
+  /**
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Burn of every route, in the order of their ids.
+   */
+  routes (nowMs: number): BurnRow[] {
+    return this._routes.rows(nowMs).sort((a, b) => a.routeId.localeCompare(b.routeId))
+  }
+
   /**
    * @param nowMs - Monotonic time in milliseconds.
    * @param accountLimit - Most account rows; those with the highest burn are kept.
@@ -54,7 +62,7 @@
   report (nowMs: number, accountLimit: number): BurnReport {
     return {
       errorBudgetShare: ERROR_BUDGET_SHARE,
-      routes: this._routes.rows(nowMs).sort((a, b) => a.routeId.localeCompare(b.routeId)),
+      routes: this.routes(nowMs),
       accounts: this._accounts.rows(nowMs).sort(byBurn).slice(0, accountLimit)
     }
   }
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -170,7 +170,9 @@
       ready: () => this._ready,
       draining: () => this._draining,
       fleetRevision: () => revisionOf(() => this._documents.fleet()),
-      hostListRevision: () => revisionOf(() => this._documents.hosts())
+      hostListRevision: () => revisionOf(() => this._documents.hosts()),
+      documentsOverdue: () => this._documents.lags(this._ctx.clock.nowMs()).filter(({ overdue }) => overdue).length,
+      burnRoutes: () => this._ctx.burn.routes(this._ctx.clock.nowMs())
     })
     return await new MetricsServer(metrics, this._owner.signal).listen(settings.listen.metrics)
   }
--- a/packages/daemon/src/__tests__/failure/JaymillAdminServer.test.ts
+++ b/packages/daemon/src/__tests__/failure/JaymillAdminServer.test.ts
@@ -87,6 +87,8 @@
     const metrics = await (await fetch(`${urls.metrics}/metrics`)).text()
     expect(metrics).toContain('jaymill_requests_total{route="stock",class="lookup",state="failed"')
     expect(metrics).toContain('jaymill_fleet_revision 3')
+    expect(metrics).toContain('jaymill_burn_rate{route="stock",window_seconds="300"} 20')
+    expect(metrics).toContain('jaymill_documents_overdue 0')
   })
 
   test.each([['/requests?limit=0', 400], ['/requests?state=lost', 400], ['/requests/%E0%A4%A/explain', 400], ['/requests/none/explain', 404]])(
--- a/packages/daemon/src/metrics/JaymillHostMetrics.ts
+++ b/packages/daemon/src/metrics/JaymillHostMetrics.ts
@@ -1,4 +1,4 @@
-import type { RequestRecord } from '@jaymill/core'
+import type { BurnRow, RequestRecord } from '@jaymill/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { INTER_TOKEN_BUCKETS_S, SECOND_MS, SECOND_US, TTFT_BUCKETS_S } from './constants.js'
 import { BoundedLabel } from './JaymillBoundedLabel.js'
@@ -13,6 +13,10 @@
   readonly fleetRevision: () => number
   /** Revision of the host list in force; 0 before the first. */
   readonly hostListRevision: () => number
+  /** Published documents that are known to be newer than those in force, for longer than they may. */
+  readonly documentsOverdue: () => number
+  /** Burn of each route. */
+  readonly burnRoutes: () => readonly BurnRow[]
 }
 
 /** Metrics of one host. Labels are routes, classes and kinds, never accounts or request ids. */
@@ -62,6 +66,8 @@
     this._gauge('jaymill_draining', '1 when the host is stopping.', () => Number(sources.draining()))
     this._gauge('jaymill_fleet_revision', 'Revision of the fleet configuration in force.', sources.fleetRevision)
     this._gauge('jaymill_host_list_revision', 'Revision of the host list in force.', sources.hostListRevision)
+    this._gauge('jaymill_documents_overdue', 'Published documents that should be in force and are not.', sources.documentsOverdue)
+    this._burn(sources.burnRoutes)
     this._gauge('process_resident_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
     this._cpu()
   }
@@ -109,6 +115,20 @@
     const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect: () => gauge.set(read()) })
   }
 
+  private _burn (read: MetricsSources['burnRoutes']): void {
+    const gauge: Gauge = new Gauge({
+      name: 'jaymill_burn_rate',
+      help: 'Share of requests that missed their targets over the error budget; 1 uses it up exactly.',
+      labelNames: ['route', 'window_seconds'],
+      registers: [this._registry],
+      collect: () => {
+        gauge.reset()
+        read().forEach(({ routeId, windows }) => windows.forEach(({ windowMs, burnRate }) =>
+          gauge.set({ route: this._routes.of(routeId), window_seconds: windowMs / SECOND_MS }, burnRate)))
+      }
+    })
+  }
+
   private _cpu (): void {
     const counter: Counter = new Counter({
       name: 'process_cpu_seconds_total',
