Order engines from the configuration, and say what keeps a host from serving

Cause: nothing brought engines to the models, adapters and roles that a configuration names; a drain with nothing running ended before its announcement was sent; one cut link between two hosts made the far one gone in the views of hosts that hear neither.

Change: desired state as a function of the revision, fenced and paced orders by the endpoint's owner under a fresh lease, read back; the status page shows gate, lag, conflicts and hosts; a drain waits for its announcement; a host that knows better contradicts an accusation, and news of life counts as a sign of life.

Conclusion: membership, configuration and orders run in the daemon.

--- /dev/null
+++ b/packages/adapters/src/endpoints/JaymillHttpOrderClient.ts
@@ -0,0 +1,44 @@
+import { EngineOrder, EngineReport, ErrorKind, OrderAnswer, OrderClient, PoolRole, RanState, RequestError } from '@jaymill/core'
+import { Dispatcher, request } from 'undici'
+import { z } from 'zod'
+import { checkStatus, readJson } from './JaymillJsonExchange.js'
+
+const MAX_REPORT_BYTES = 64 * 1024
+const READ_TIMEOUT_MS = 2_000
+const ORDER_TIMEOUT_MS = 10_000
+const STALE_STATUS = 409
+
+const reportSchema: z.ZodType<EngineReport> = z.object({
+  fencingToken: z.number().int().nonnegative(),
+  model: z.string().optional(),
+  version: z.string().optional(),
+  adapters: z.array(z.string()).optional(),
+  role: z.enum(PoolRole).optional()
+})
+
+/** Orders engines over HTTP: `GET /orders` and `POST /orders`. */
+export class HttpOrderClient extends OrderClient {
+  /** {@inheritDoc @jaymill/core#OrderClient.read} */
+  async read (url: string, signal: AbortSignal): Promise<EngineReport> {
+    const res = await exchange(url, { method: 'GET' }, AbortSignal.any([signal, AbortSignal.timeout(READ_TIMEOUT_MS)]))
+    await checkStatus(res, url)
+    return await readJson(res.body, reportSchema, MAX_REPORT_BYTES)
+  }
+
+  /** {@inheritDoc @jaymill/core#OrderClient.send} */
+  async send (url: string, order: EngineOrder, signal: AbortSignal): Promise<OrderAnswer> {
+    const call = { method: 'POST' as const, headers: { 'content-type': 'application/json' }, body: JSON.stringify(order) }
+    const res = await exchange(url, call, AbortSignal.any([signal, AbortSignal.timeout(ORDER_TIMEOUT_MS)]))
+    if (res.statusCode !== STALE_STATUS) await checkStatus(res, url)
+    await res.body.dump()
+    return res.statusCode === STALE_STATUS ? OrderAnswer.Stale : OrderAnswer.Done
+  }
+}
+
+type OrderCall = Pick<Dispatcher.RequestOptions, 'method' | 'headers' | 'body'>
+
+async function exchange (url: string, call: OrderCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+  return await request(new URL('/orders', url), { ...call, signal }).catch((err: unknown) => {
+    throw new RequestError(ErrorKind.EndpointFailed, `${url} did not answer about orders`, { ran: RanState.Unknown, cause: err })
+  })
+}
--- a/packages/core/src/__tests__/unit/JaymillMembership.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillMembership.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from 'vitest'
 import {
-  EndpointAvailability, GONE_AFTER_SUSPECT_MS, Heartbeat, HostList, HostState, LEAVING_MARK_MS, Membership, MembershipEffect,
+  EndpointAvailability, GONE_AFTER_SUSPECT_MS, Heartbeat, heartbeatPartners, HostList, HostState, LEAVING_MARK_MS, Membership, MembershipEffect,
   MembershipEffectKind, PAUSE_GAP_MS, PeerStatus, SUSPECT_AFTER_MS
 } from '../../index.js'
 
@@ -90,8 +90,9 @@
   })
 
   test('one cut link does not make a host gone', () => {
-    const fleet = new Fleet(7)
-    fleet.cut = (from, to) => [from, to].every(id => ['host-1', 'host-2'].includes(id))
+    const fleet = new Fleet(60)
+    const [partner] = heartbeatPartners('host-1', 'region-1', listOf(60).hosts, 1)
+    fleet.cut = (from, to) => [from, to].every(id => ['host-1', partner].includes(id))
     fleet.run(60_000)
     expect(fleet.effects.some(effect => effect.kind === MembershipEffectKind.PeerChanged && effect.status === PeerStatus.Gone)).toBe(false)
   })
@@ -107,10 +108,19 @@
     fleet.run(10_000)
     expect(fleet.effects.filter(({ kind }) => kind === MembershipEffectKind.Paused)).toEqual([{ kind: 'paused', gapMs: 60_000 + STEP_MS }])
     expect(fleet.effects.some(({ kind }) => kind === MembershipEffectKind.DeclaredGone)).toBe(true)
-    expect(fleet.effects.some(effect => effect.kind === MembershipEffectKind.PeerChanged && effect.status === PeerStatus.Gone)).toBe(false)
+    expect(fleet.effects.filter(effect => effect.kind === MembershipEffectKind.PeerChanged && effect.status !== PeerStatus.Live)).toEqual([])
     expect(fleet.views('host-1')).toSatisfy(all(PeerStatus.Live))
   })
 
+  test('an accused host answers with newer news of itself, and silence during a pause is not held against others', () => {
+    const host = new Membership({ id: 'host-0', zone: 'z', region: 'r', incarnation: 1 }, 0)
+    host.adoptList(listOf(2), 0)
+    host.receive(beatOf({ updates: [{ id: 'host-0', incarnation: 1, seq: 7, status: PeerStatus.Suspect }] }), 0)
+    expect(host.beat(FACTS, 'host-1').updates).toContainEqual({ id: 'host-0', incarnation: 1, seq: 8, status: PeerStatus.Live })
+    expect(host.tick(60_000).map(({ kind }) => kind)).toEqual([MembershipEffectKind.Paused, MembershipEffectKind.Send])
+    expect(host.tick(60_000 + STEP_MS)).toEqual([])
+  })
+
   test('late heartbeats of an earlier incarnation change nothing', () => {
     const host = new Membership({ id: 'host-0', zone: 'z', region: 'r', incarnation: 1 }, 0)
     host.adoptList(listOf(3), 0)
--- a/packages/core/src/membership/JaymillMembership.ts
+++ b/packages/core/src/membership/JaymillMembership.ts
@@ -202,7 +202,9 @@
   private _apply (update: PeerUpdate, nowMs: number): MembershipEffect[] {
     if (update.id === this._self.id) return this._refute(update)
     const peer = this._peers.get(update.id)
-    return peer?.apply(update, nowMs) === true ? [this._changed(peer, nowMs)] : []
+    if (peer === undefined) return []
+    if (peer.contradicts(update)) this._queue.add(peer.update(peer.status))
+    return peer.apply(update, nowMs) ? [this._changed(peer, nowMs)] : []
   }
 
   private _changed (peer: PeerRecord, nowMs: number): PeerChangedEffect {
--- a/packages/core/src/membership/JaymillPeerRecord.ts
+++ b/packages/core/src/membership/JaymillPeerRecord.ts
@@ -11,13 +11,15 @@
 
 const SEVERITY: readonly PeerStatus[] = [PeerStatus.Live, PeerStatus.Suspect, PeerStatus.Leaving, PeerStatus.Gone]
 
+const PROOF_OF_LIFE: readonly PeerStatus[] = [PeerStatus.Live, PeerStatus.Leaving]
+
 /** What this host knows of one other host. */
 export class PeerRecord {
   /** Last published entry. */
   entry: HostEntry
   /** Whether the newest adopted list has the host. */
   listed = true
-  /** Time of the last heartbeat or answer, in milliseconds; `null` when none is awaited. */
+  /** Time of the last sign of life, heard directly or passed on, in milliseconds; `null` when none is awaited. */
   lastDirectMs: number | null = null
   /** Time of the last heartbeat sent to the host, in milliseconds. */
   lastProbeMs = Number.NEGATIVE_INFINITY
@@ -61,11 +63,20 @@
     this._incarnation = update.incarnation
     this._seq = update.seq
     this._snapshot = nextPeerSnapshot(base, EVENT_OF_STATUS[update.status])
+    if (PROOF_OF_LIFE.includes(update.status) && this.lastDirectMs !== null) this.lastDirectMs = nowMs
     const changed = restarted || this.status !== statusOf(before)
     if (changed) this.changedMs = nowMs
     return changed
   }
 
+  /**
+   * @param update - News of the host.
+   * @returns Whether the host is accused of silence although something newer is known of it.
+   */
+  contradicts (update: PeerUpdate): boolean {
+    return !PROOF_OF_LIFE.includes(update.status) && PROOF_OF_LIFE.includes(this.status) && !this._isNews(update)
+  }
+
   /**
    * @param status - Status to be reported.
    * @returns News at the newest incarnation and sequence number known here.
--- a/packages/core/src/orders/index.ts
+++ b/packages/core/src/orders/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './JaymillDesiredState.js'
+export * from './JaymillEngineOrder.js'
+export * from './JaymillOrderConstants.js'
+export * from './JaymillOrderPlanner.js'
+export * from './JaymillWeightLoadPacer.js'
--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -1,5 +1,5 @@
 import { BurnRecorder, ErrorKind, HostIdentity, HostList, PeerStatus, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
-import { HttpServiceClient, PeerHandlers, UndiciEngineClient } from '@jaymill/adapters'
+import { HttpOrderClient, HttpServiceClient, PeerHandlers, UndiciEngineClient } from '@jaymill/adapters'
 import { HostSettings, readSecret } from '@jaymill/settings'
 import type { Logger } from 'winston'
 import { revisionOf } from './admin/JaymillAdminRouter.js'
@@ -20,6 +20,7 @@
 import { HostMetrics } from './metrics/JaymillHostMetrics.js'
 import { MetricsServer } from './metrics/JaymillMetricsServer.js'
 import { MembershipDriver } from './membership/JaymillMembershipDriver.js'
+import { OrderDriver } from './orders/JaymillOrderDriver.js'
 import { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 import { SystemClock } from './ports/JaymillSystemClock.js'
 import { SystemSecretReader } from './ports/JaymillSystemSecretReader.js'
@@ -100,7 +101,9 @@
       booker: this._routing.booker,
       keys: new KeyOwnerDriver({ identity, limits: settings.limits, clock, log, peers, hosts: () => documents.hosts() }),
       draining: () => this._draining,
-      requireReady: () => this._requireReady()
+      requireReady: () => this._requireReady(),
+      configStatus: () => ({ gate: this._config.gate, lags: documents.lags(clock.nowMs()), conflicts: documents.conflicts }),
+      otherHosts: () => this._membership.views()
     }
     this._platform = createHostPlatform(this._ctx, secrets, () => documents.list)
     this._owned = new OwnedRequests(this._ctx, this._owner.signal)
@@ -161,6 +164,7 @@
     this._config.start(signal)
     new PlatformFollower({ hostId, reader, documents, clock, answers }).start(signal)
     this._routing.follow(() => documents.known, signal)
+    new OrderDriver({ ...this._ctx, client: new HttpOrderClient(), leaseFresh: () => this._leaseFresh }).start(signal)
   }
 
   private async _listenMetrics (): Promise<string> {
@@ -190,6 +194,11 @@
     return this._documents.known && this._routing.ready && this._config.gate.open && !this._membership.paused && !this._draining
   }
 
+  private get _leaseFresh (): boolean {
+    const { activeRevision, leaseLeftMs } = this._ctx.keys.status()
+    return this._ready && leaseLeftMs > 0 && activeRevision === this._documents.list?.revision
+  }
+
   private _requireReady (): void {
     const { open, reason, answers, needed } = this._config.gate
     if (this._membership.paused) throw new RequestError(ErrorKind.NotReady, 'this host was paused and asks the others for their configuration')
@@ -200,9 +209,10 @@
 
   private async _drain (): Promise<void> {
     this._draining = true
-    this._membership.leave()
+    const announced = this._membership.leave()
     const deadline = setTimeout(() => this._reportDeadline(), this._ctx.settings.drainDeadlineMs)
     this._ctx.log.info('drain started', { running: this._callers.inFlight })
+    await announced
     await this._callers.idle()
     await this._owned.idle()
     await this._lent.idle()
--- a/packages/daemon/src/JaymillHostContext.ts
+++ b/packages/daemon/src/JaymillHostContext.ts
@@ -5,9 +5,11 @@
 import type { HostSettings } from '@jaymill/settings'
 import type { Logger } from 'winston'
 import type { BodyBudget } from './callers/JaymillBodyBudget.js'
+import type { ConfigStatus } from './config/JaymillConfigDriver.js'
 import type { KeyOwnerDriver } from './idempotency/JaymillKeyOwnerDriver.js'
 import type { HostMetrics } from './metrics/JaymillHostMetrics.js'
 import type { HostHealth } from './health/JaymillHostHealth.js'
+import type { HostView } from './membership/JaymillMembershipDriver.js'
 import type { PeerNetwork } from './peers/JaymillPeerNetwork.js'
 
 /** What the rooms of the daemon share. */
@@ -46,4 +48,12 @@
    * @throws RequestError of kind `NotReady` while this host may be behind the configuration in force.
    */
   requireReady: () => void
+  /**
+   * @returns What keeps this host from serving, how far it is behind, and conflicts over revisions.
+   */
+  configStatus: () => ConfigStatus
+  /**
+   * @returns This host's view of the other hosts.
+   */
+  otherHosts: () => HostView[]
 }
--- a/packages/daemon/src/admin/JaymillAdminRouter.ts
+++ b/packages/daemon/src/admin/JaymillAdminRouter.ts
@@ -77,6 +77,8 @@
       draining: this._ctx.draining(),
       fleetRevision: revisionOf(() => this._ctx.fleet()),
       hostListRevision: revisionOf(() => this._ctx.hosts()),
+      configuration: this._ctx.configStatus(),
+      hosts: this._ctx.otherHosts(),
       idempotency: keys.status(),
       running: requests.running.length
     }
--- a/packages/daemon/src/config/JaymillConfigDriver.ts
+++ b/packages/daemon/src/config/JaymillConfigDriver.ts
@@ -1,6 +1,6 @@
 import {
-  Clock, ConfigHandler, DocumentFetch, DocumentFetches, DocumentMark, DocumentQuestion, ErrorKind, GateState, HighWaterAnswer,
-  HighWaterGate, HostIdentity, PlatformKey, PublishedDocument, RequestError
+  Clock, ConfigHandler, ConfigLag, DigestConflict, DocumentFetch, DocumentFetches, DocumentMark, DocumentQuestion, ErrorKind,
+  GateState, HighWaterAnswer, HighWaterGate, HostIdentity, PlatformKey, PublishedDocument, RequestError
 } from '@jaymill/core'
 import type { Logger } from 'winston'
 import type { PeerNetwork } from '../peers/JaymillPeerNetwork.js'
@@ -18,6 +18,13 @@
   readonly documents: PublishedDocuments
 }
 
+/** State of the published documents on a host, for operators. */
+export interface ConfigStatus {
+  readonly gate: GateState
+  readonly lags: readonly ConfigLag[]
+  readonly conflicts: readonly DigestConflict[]
+}
+
 /** Exchanges published documents with other hosts and keeps a host that may be behind from serving. */
 export class ConfigDriver extends ConfigHandler {
   private readonly _options: ConfigDriverOptions
--- a/packages/daemon/src/membership/JaymillMembershipDriver.ts
+++ b/packages/daemon/src/membership/JaymillMembershipDriver.ts
@@ -21,6 +21,14 @@
   readonly health: HostHealth
 }
 
+/** One other host as this host sees it. */
+export interface HostView {
+  readonly id: string
+  readonly status: PeerStatus
+  /** Highest incarnation heard of; 0 when none was. */
+  readonly incarnation: number
+}
+
 /** Called after another host's status or incarnation has changed. */
 export type PeerListener = (change: PeerChangedEffect) => void
 
@@ -72,9 +80,13 @@
     signal.addEventListener('abort', () => clearInterval(timer), { once: true })
   }
 
-  /** Announces to other hosts at once that this host stops. */
-  leave (): void {
-    this._run(this._membership.leave(this._options.clock.nowMs()))
+  /**
+   * Announces to other hosts at once that this host stops.
+   *
+   * @returns When every partner has answered or its call has failed.
+   */
+  async leave (): Promise<void> {
+    await Promise.all(this._membership.leave(this._options.clock.nowMs()).map(effect => this._trySend(effect)))
   }
 
   /**
@@ -111,10 +123,10 @@
   }
 
   /**
-   * @returns Ids of all other hosts that are known.
+   * @returns All other hosts that are known.
    */
-  hostIds (): string[] {
-    return this._membership.hostIds()
+  views (): HostView[] {
+    return this._membership.hostIds().map(id => ({ id, status: this.statusOf(id), incarnation: this.incarnationOf(id) }))
   }
 
   /**
@@ -177,7 +189,7 @@
     const { log, config } = this._options
     switch (effect.kind) {
       case MembershipEffectKind.Send:
-        this._send(effect).catch(err => log.debug('heartbeat unanswered', { hostId: effect.hostId, err }))
+        this._trySend(effect).catch(err => log.error('heartbeat answer not handled', { err }))
         break
       case MembershipEffectKind.PeerChanged:
         log.info('host changed', { ...effect })
@@ -193,9 +205,12 @@
     }
   }
 
-  private async _send ({ hostId, peerUrl }: SendEffect): Promise<void> {
+  private async _trySend ({ hostId, peerUrl }: SendEffect): Promise<void> {
+    const { peers, log } = this._options
     const signal = this._signal
     if (signal === undefined || signal.aborted) return
-    this._receive(await this._options.peers.clientAt(hostId, peerUrl).heartbeat(this._beat(hostId), signal))
+    const answer = await peers.clientAt(hostId, peerUrl).heartbeat(this._beat(hostId), signal)
+      .catch((err: unknown) => { log.debug('heartbeat unanswered', { hostId, err }) })
+    if (answer !== undefined) this._receive(answer)
   }
 }
