--- a/packages/bench/src/standins/JaymillStandInServer.ts
+++ b/packages/bench/src/standins/JaymillStandInServer.ts
@@ -14,7 +14,8 @@
   private _frozen = false
   private readonly _open = new Set<ServerResponse>()
   private readonly _muted = new WeakSet<ServerResponse>()
-  protected readonly received: ReceivedCall[] = []
+  /** Calls in the order of arrival. */
+  readonly received: ReceivedCall[] = []
 
   constructor () {
     this._server = createServer((req, res) => { this._serve(req, res).catch(() => res.destroy()) })
@@ -31,12 +32,13 @@
   }
 
   /**
-   * Listens on a free port until the signal aborts.
+   * Listens until the signal aborts.
    *
    * @param signal - Closes the server and its connections.
+   * @param port - Port of an earlier start; 0 for a free one.
    */
-  async start (signal: AbortSignal): Promise<void> {
-    this._server.listen(0, '127.0.0.1')
+  async start (signal: AbortSignal, port = 0): Promise<void> {
+    this._server.listen(port, '127.0.0.1')
     await once(this._server, 'listening')
     signal.addEventListener('abort', () => this.kill(), { once: true })
   }
--- a/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
@@ -6,7 +6,7 @@
 import { CallerExchange, withDeadline } from '../callers/JaymillCallerExchange.js'
 import { forwardedHeaders } from '../callers/JaymillServiceCall.js'
 import type { HostContext } from '../JaymillHostContext.js'
-import { PATIENCE_MS, RESEND_AFTER_MS, RETRY_MS } from './constants.js'
+import { PATIENCE_MS, RECALL_TIMEOUT_MS, RESEND_AFTER_MS, RETRY_MS } from './constants.js'
 import { forwardArrival } from './JaymillForwardClient.js'
 import { KeyedArrival, toKeyedRequest } from './JaymillKeyedArrival.js'
 import { OwnedRequests } from './JaymillOwnedRequests.js'
@@ -108,7 +108,8 @@
     former: readonly string[], arrival: KeyedArrival, undecided: UndecidedError, res: ServerResponse, signal: AbortSignal
   ): Promise<void> {
     for (const hostId of former) {
-      const err = await this._passTo(hostId, arrival, res, signal).then(() => undefined, (reason: unknown) => reason)
+      const wait = AbortSignal.any([signal, AbortSignal.timeout(RECALL_TIMEOUT_MS)])
+      const err = await this._passTo(hostId, arrival, res, wait).then(() => undefined, (reason: unknown) => reason)
       if (err === undefined || res.headersSent) return
       if (err instanceof RequestError && !(err instanceof UndecidedError) && err.kind !== ErrorKind.PeerFailed) throw err
     }
--- a/packages/daemon/src/idempotency/JaymillOwnedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillOwnedRequests.ts
@@ -4,9 +4,11 @@
 } from '@jaymill/core'
 import type { Decision } from '@jaymill/core'
 import type { ServerResponse } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { HostContext } from '../JaymillHostContext.js'
 import { bookService, callService, deadlineSignal } from '../callers/JaymillServiceCall.js'
 import { relayAnswer, sendKept } from './JaymillAnswerRelay.js'
+import { PATIENCE_MS, RETRY_MS } from './constants.js'
 import { KeyedArrival, toKeyedRequest } from './JaymillKeyedArrival.js'
 import { UndecidedError } from './JaymillUndecidedError.js'
 
@@ -91,12 +93,25 @@
 
   private async _book (arrival: KeyedArrival, permit: RunPermit, signal: AbortSignal): Promise<Booking> {
     arrival.record?.decide(RequestEvent.Admit, 'owner of the key', this._ctx.clock.nowMs())
-    return await bookService(this._ctx, arrival.requestId, arrival.accountId, arrival.match, signal).catch((err: unknown) => {
+    return await this._awaitSlot(arrival, this._ctx.clock.nowMs() + PATIENCE_MS, signal).catch((err: unknown) => {
       this._ctx.keys.owner.refused(permit)
       throw err
     })
   }
 
+  /** A refusal is final for the key, so a slot is worth waiting for while an endpoint changes its owner. */
+  private async _awaitSlot (arrival: KeyedArrival, endMs: number, signal: AbortSignal): Promise<Booking> {
+    while (true) {
+      try {
+        return await bookService(this._ctx, arrival.requestId, arrival.accountId, arrival.match, signal)
+      } catch (err) {
+        const full = err instanceof RequestError && err.kind === ErrorKind.Overloaded
+        if (!full || this._ctx.clock.nowMs() >= endMs) throw err
+        await sleep(RETRY_MS, undefined, { signal }).catch(() => { throw signal.reason })
+      }
+    }
+  }
+
   private async _send (
     arrival: KeyedArrival, permit: RunPermit, booking: Booking, signal: AbortSignal, res: ServerResponse
   ): Promise<void> {
--- a/packages/daemon/src/idempotency/constants.ts
+++ b/packages/daemon/src/idempotency/constants.ts
@@ -33,3 +33,6 @@
 
 /** Header that tells a problem document of a host from an answer of an endpoint. */
 export const PROBLEM_HEADER = 'x-jaymill-problem'
+
+/** Time for an earlier owner of a key to say what it remembers, in milliseconds. */
+export const RECALL_TIMEOUT_MS = 1_000
