Let only a cancel free prefill results in the tests of leaving callers

Two tests could not fail: prefill results lapsed by themselves after 0.8 s, and one stale digest of two was sent. Results now outlive the test, and both hosts repeat an older digest.

--- a/packages/bench/src/__tests__/failure/JaymillStreams.test.ts
+++ b/packages/bench/src/__tests__/failure/JaymillStreams.test.ts
@@ -6,6 +6,8 @@
 import type { EngineStandIn } from '../../standins/JaymillEngineStandIn.js'
 
 const TOKENS = 60
+/** Life of prefill results, longer than any test, so that only a cancel frees them. */
+const KEPT_MS = 600_000
 const PROMPT = 'Wear report 7: front points worn by two millimetres.'
 
 let owner: AbortController
@@ -13,7 +15,7 @@
 let caller: DemoCaller
 
 async function startFleet (decode: number): Promise<void> {
-  fleet = new DemoFleet({ hosts: 1, prefill: 2, decode, services: 1 })
+  fleet = new DemoFleet({ hosts: 1, prefill: 2, decode, services: 1, engine: { kvTtlMs: KEPT_MS } })
   await fleet.start(owner.signal)
   caller = new DemoCaller(fleet.hosts[0]?.urls.caller ?? '')
 }
--- a/packages/bench/src/demo/JaymillDemoFleet.ts
+++ b/packages/bench/src/demo/JaymillDemoFleet.ts
@@ -1,6 +1,6 @@
 import { Daemon, DaemonUrls, createHostLogger } from '@jaymill/daemon'
 import { parseHostSettings } from '@jaymill/settings'
-import { EngineStandIn } from '../standins/JaymillEngineStandIn.js'
+import { EngineStandIn, EngineStandInOptions } from '../standins/JaymillEngineStandIn.js'
 import { PlatformStandIn } from '../standins/JaymillPlatformStandIn.js'
 import { ServiceStandIn } from '../standins/JaymillServiceStandIn.js'
 import { DEMO_ZONES, demoFleet, demoHosts } from './JaymillDemoDocuments.js'
@@ -22,9 +22,11 @@
   readonly logLevel: string
   /** Members of the hosts' `limits` settings that differ from the defaults. */
   readonly limits: Readonly<Record<string, number>>
+  /** Sizes and pace of the engines that differ from the defaults. */
+  readonly engine: Partial<EngineStandInOptions>
 }
 
-const DEFAULTS: DemoFleetOptions = { hosts: 3, prefill: 2, decode: 3, services: 2, logLevel: 'error', limits: {} }
+const DEFAULTS: DemoFleetOptions = { hosts: 3, prefill: 2, decode: 3, services: 2, logLevel: 'error', limits: {}, engine: {} }
 
 /** A running host of the demo. */
 export interface DemoHost {
@@ -51,8 +53,8 @@
    */
   constructor (opts: Partial<DemoFleetOptions> = {}) {
     this._opts = { ...DEFAULTS, ...opts }
-    this.prefill = create(this._opts.prefill, () => new EngineStandIn())
-    this.decode = create(this._opts.decode, () => new EngineStandIn())
+    this.prefill = create(this._opts.prefill, () => new EngineStandIn(this._opts.engine))
+    this.decode = create(this._opts.decode, () => new EngineStandIn(this._opts.engine))
     this.services = create(this._opts.services, () => new ServiceStandIn())
   }
 
--- a/packages/core/src/__tests__/unit/JaymillObservedPaceScorer.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillObservedPaceScorer.test.ts
@@ -54,7 +54,7 @@
       const receiver = new ObservedPaceScorer()
       feed(receiver, POOL.slice(1), 25, 0)
       order.forEach(digest => receiver.merge(digest, 0))
-      receiver.merge({ hostId: 'h1', seq: 0, entries: [] }, 0)
+      ;['h1', 'h2'].forEach(hostId => receiver.merge({ hostId, seq: 0, entries: [] }, 0))
       return weights(receiver, 0)
     })
     expect(results).toEqual([0, 1, 2].map(() => [0, 1, 1, 1, 1, 1]))
