--- a/packages/core/src/routing/JaymillEndpointLedger.ts
+++ b/packages/core/src/routing/JaymillEndpointLedger.ts
@@ -90,7 +90,6 @@
     if (known?.state === GrantState.Held) return this._answer(known, null)
     const refusal = this._refusalOf(id, req, nowMs)
     if (refusal !== null) return this._answer(null, refusal)
-    this._grants.delete(adoptedGrantId(req))
     const grant = this._newGrant(id, req, nowMs)
     this._grants.set(id, grant)
     return this._answer(grant, null)
@@ -208,7 +207,7 @@
     if (this._leaving) return GrantRefusal.Leaving
     if (this.isHoldingOff(nowMs)) return GrantRefusal.HoldOff
     if (this._released.has(id)) return GrantRefusal.Released
-    if (this._grants.has(id) || this._grants.has(adoptedGrantId(req))) return null
+    if (this._grants.has(id)) return null
     const startMs = nowMs + req.startInMs
     const counted = [...this._grants.values()].filter(grant =>
       this._counting === CountingRule.Exact || grant.endsAtMs > startMs)
--- a/packages/daemon/src/routing/JaymillEndpointWatch.ts
+++ b/packages/daemon/src/routing/JaymillEndpointWatch.ts
@@ -64,7 +64,7 @@
     const facts = this._owner.facts.all(this._parts.hosts(), holders, this._parts.clock.nowMs())
     await Promise.all(findOrphans(running, facts).map(async ({ request, verdict }) => {
       this._parts.log.warn('orphan cancelled', { endpointId, requestId: request.requestId, host: request.hostId, verdict })
-      await this._parts.engines.cancel(url, request.requestId, signal).catch(() => undefined)
+      await this._parts.engines.cancel(url, request.requestId, signal, request.attempt).catch(() => undefined)
     }))
   }
 }
--- a/packages/daemon/src/routing/JaymillRouting.ts
+++ b/packages/daemon/src/routing/JaymillRouting.ts
@@ -47,17 +47,24 @@
    * @param signal - Ends it.
    */
   follow (documentsKnown: () => boolean, signal: AbortSignal): void {
-    const timer = setInterval(() => { if (documentsKnown()) this._tick(signal) }, OWNER_TICK_MS)
+    const tick = (): void => { this.tick(signal).catch(err => this._parts.log.error('looking after bookings failed', { err })) }
+    const timer = setInterval(() => { if (documentsKnown()) tick() }, OWNER_TICK_MS)
     signal.addEventListener('abort', () => clearInterval(timer), { once: true })
   }
 
-  private _tick (signal: AbortSignal): void {
+  /**
+   * Looks once at configuration, grants and due reports.
+   *
+   * @param signal - Gives up.
+   * @returns When the reports that were due have been read.
+   */
+  async tick (signal: AbortSignal): Promise<void> {
     const nowMs = this._parts.clock.nowMs()
     this._owner.adopt(nowMs)
     this._owner.expire(nowMs)
     this._keeper.tick()
-    this._watch.tick(signal).catch(err => this._parts.log.error('reading endpoint reports failed', { err }))
     this._noteReady(nowMs)
+    await this._watch.tick(signal)
   }
 
   private _noteReady (nowMs: number): void {
