Let an entry host say "not run" only of a request without a key

Cause: a host that was not ready, did not know the account or path, or could not read the body answered ran: no also for a request with an idempotency key, though another copy of it may have run through another host.

Change: refusals before the owner of the key is asked leave the state unknown when the caller sent a key.

Conclusion: "not run" of a caller's key comes from its owner alone.

--- a/packages/daemon/src/__tests__/failure/JaymillAdminServer.test.ts
+++ b/packages/daemon/src/__tests__/failure/JaymillAdminServer.test.ts
@@ -91,6 +91,16 @@
     expect(metrics).toContain('jaymill_documents_overdue 0')
   })
 
+  test.each([['/stock', 'wrong-key'], ['/nowhere', 'secret-key'], ['/v1/completions', 'secret-key']])(
+    'an entry host that refuses %s (%s) says "not run" only of a request without a key', async (path, key) => {
+      const ranOf = async (headers: Record<string, string>) => {
+        const res = await fetch(`${urls.caller}${path}`, { method: 'POST', body: 'no JSON', headers: { authorization: `Bearer ${key}`, ...headers } })
+        expect(res.ok).toBe(false)
+        return (await res.json() as { ran: string }).ran
+      }
+      expect([await ranOf({}), await ranOf({ 'idempotency-key': 'k1' })]).toEqual(['no', 'unknown'])
+    })
+
   test.each([['/requests?limit=0', 400], ['/requests?state=lost', 400], ['/requests/%E0%A4%A/explain', 400], ['/requests/none/explain', 404]])(
     'refuses %s', async (path, status) => {
       expect((await call(path, `Bearer ${TOKEN}`)).status).toBe(status)
--- a/packages/daemon/src/__tests__/unit/JaymillBodyBudget.test.ts
+++ b/packages/daemon/src/__tests__/unit/JaymillBodyBudget.test.ts
@@ -15,8 +15,7 @@
   credentials: { peerToken: { value: 'p' }, adminToken: { value: 'a' } },
   limits: { bodyBytes: 60 }
 }), 'host')
-const request = (bytes: number, headers: object = {}) =>
-  Object.assign(Readable.from([Buffer.alloc(bytes)]), { headers }) as unknown as IncomingMessage
+const request = (bytes: number) => Readable.from([Buffer.alloc(bytes)]) as unknown as IncomingMessage
 const response = () => new EventEmitter() as unknown as ServerResponse
 
 test('bodies of all requests together stay within the bound, and a closed response gives its bytes back', async () => {
@@ -24,7 +23,6 @@
   const first = response()
   await readBody(request(60), first, ctx)
   await expect(readBody(request(50), response(), ctx)).rejects.toMatchObject({ kind: ErrorKind.Overloaded, ran: RanState.No })
-  await expect(readBody(request(50, { 'idempotency-key': 'k' }), response(), ctx)).rejects.toMatchObject({ ran: RanState.Unknown })
   first.emit('close')
   expect((await readBody(request(50), response(), ctx)).length).toBe(50)
   expect(ctx.bodies.heldBytes).toBe(50)
--- a/packages/daemon/src/callers/JaymillBody.ts
+++ b/packages/daemon/src/callers/JaymillBody.ts
@@ -15,7 +15,7 @@
   req: IncomingMessage, res: ServerResponse, { settings, bodies }: Pick<HostContext, 'settings' | 'bodies'>
 ): Promise<Buffer> {
   const maxBytes = settings.limits.bodyBytes
-  const hold = bodies.hold(req, res)
+  const hold = bodies.hold(res)
   const chunks: Buffer[] = []
   let size = 0
   for await (const chunk of req as AsyncIterable<Buffer>) {
--- a/packages/daemon/src/callers/JaymillBodyBudget.ts
+++ b/packages/daemon/src/callers/JaymillBodyBudget.ts
@@ -1,5 +1,5 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
-import { ErrorKind, RanState, RequestError } from '@jaymill/core'
+import type { ServerResponse } from 'node:http'
+import { ErrorKind, RequestError } from '@jaymill/core'
 
 const RETRY_AFTER_MS = 1_000
 
@@ -23,26 +23,23 @@
   /**
    * Starts to hold a body, until its response has ended or its caller is gone.
    *
-   * @param req - Request whose body is read.
-   * @param res - Its response.
-   * @returns Takes further bytes; throws RequestError of kind `Overloaded` when the bound is reached. Another copy of a
-   * request with an idempotency key may have run, so its state is then unknown.
+   * @param res - Response to the request whose body is read.
+   * @returns Takes further bytes; throws RequestError of kind `Overloaded` when the bound is reached.
    */
-  hold (req: IncomingMessage, res: ServerResponse): (bytes: number) => void {
+  hold (res: ServerResponse): (bytes: number) => void {
     let held = 0
     res.once('close', () => {
       this._heldBytes -= held
       held = 0
     })
     return bytes => {
-      if (this._heldBytes + bytes > this._maxBytes) throw this._refusal(req)
+      if (this._heldBytes + bytes > this._maxBytes) throw this._refusal()
       this._heldBytes += bytes
       held += bytes
     }
   }
 
-  private _refusal (req: IncomingMessage): RequestError {
-    const ran = req.headers['idempotency-key'] === undefined ? RanState.No : RanState.Unknown
-    return new RequestError(ErrorKind.Overloaded, 'the bodies of waiting requests fill their memory', { ran, retryAfterMs: RETRY_AFTER_MS })
+  private _refusal (): RequestError {
+    return new RequestError(ErrorKind.Overloaded, 'the bodies of waiting requests fill their memory', { retryAfterMs: RETRY_AFTER_MS })
   }
 }
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -2,13 +2,14 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { randomUUID } from 'node:crypto'
-import { ErrorKind, fleetIndex, RanState, RequestError, toProblem } from '@jaymill/core'
+import { ErrorKind, fleetIndex, RequestError, toProblem } from '@jaymill/core'
 import type { OwnedRequests } from '../idempotency/JaymillOwnedRequests.js'
 import type { HostContext } from '../JaymillHostContext.js'
 import type { AnswerRouter } from '../streams/JaymillAnswerRouter.js'
 import { callerSignal, CallerExchange } from './JaymillCallerExchange.js'
-import { authenticate, readCallerHeaders } from './JaymillCallerRequest.js'
+import { authenticate, CallerHeaders, readCallerHeaders } from './JaymillCallerRequest.js'
 import { COMPLETION_FORMS, CompletionRoute } from './JaymillCompletionRoute.js'
+import { entryRefusal } from './JaymillEntryRefusal.js'
 import { sendProblem } from './JaymillProblemReply.js'
 import { ServiceRoute } from './JaymillServiceRoute.js'
 
@@ -17,6 +18,9 @@
 const HEADERS_TIMEOUT_MS = 10_000
 const REQUEST_TIMEOUT_MS = 60_000
 
+/** Serves one request whose way is known. */
+type Handler = (res: ServerResponse) => Promise<void>
+
 /** Listener for callers. */
 export class CallerServer {
   private readonly _ctx: HostContext
@@ -84,13 +88,7 @@
     try {
       const headers = readCallerHeaders(req, randomUUID)
       requestId = headers.requestId
-      if (this._ctx.draining()) {
-        const ran = headers.idempotencyKey === undefined ? RanState.No : RanState.Unknown
-        throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { ran, retryAfterMs: DRAIN_RETRY_AFTER_MS })
-      }
-      this._ctx.requireReady()
-      const account = authenticate(req, fleetIndex(this._ctx.fleet()))
-      await this._dispatch({ req, res, headers, account, signal: callerSignal(res) })
+      await this._handlerOf(req, headers)(res)
     } catch (err) {
       this._ctx.log.warn('request refused or failed', { requestId, err })
       this._ctx.metrics.countProblem(toProblem(err).title)
@@ -101,11 +99,27 @@
     }
   }
 
-  private async _dispatch (exchange: CallerExchange): Promise<void> {
-    const path = new URL(exchange.req.url ?? '/', 'http://caller').pathname
-    const method = exchange.req.method ?? 'GET'
+  private _handlerOf (req: IncomingMessage, headers: CallerHeaders): Handler {
+    try {
+      if (this._ctx.draining()) {
+        throw new RequestError(ErrorKind.Stopping, 'this host is stopping', { retryAfterMs: DRAIN_RETRY_AFTER_MS })
+      }
+      this._ctx.requireReady()
+      return this._route(req, headers)
+    } catch (err) {
+      throw entryRefusal(err, headers.idempotencyKey)
+    }
+  }
+
+  private _route (req: IncomingMessage, headers: CallerHeaders): Handler {
+    const fleet = fleetIndex(this._ctx.fleet())
+    const account = authenticate(req, fleet)
+    const exchange = (res: ServerResponse): CallerExchange => ({ req, res, headers, account, signal: callerSignal(res) })
+    const path = new URL(req.url ?? '/', 'http://caller').pathname
+    const method = req.method ?? 'GET'
     const form = COMPLETION_FORMS[path]
-    if (form !== undefined && method === 'POST') await this._completions.handle(exchange, form)
-    else await this._services.handle(exchange, fleetIndex(this._ctx.fleet()).service(method, path))
+    if (form !== undefined && method === 'POST') return res => this._completions.handle(exchange(res), form)
+    const match = fleet.service(method, path)
+    return res => this._services.handle(exchange(res), match)
   }
 }
--- a/packages/daemon/src/callers/JaymillCompletionRoute.ts
+++ b/packages/daemon/src/callers/JaymillCompletionRoute.ts
@@ -7,6 +7,7 @@
 import { CallerExchange, withDeadline } from './JaymillCallerExchange.js'
 import { CompletionForm, parseCompletionBody } from './JaymillCompletionBody.js'
 import { sendCompletion, streamCompletion } from './JaymillCompletionReply.js'
+import { entryRefusal } from './JaymillEntryRefusal.js'
 
 const MS_PER_SECOND = 1_000
 
@@ -38,7 +39,7 @@
    * @throws RequestError when the request cannot be served.
    */
   async handle (exchange: CallerExchange, form: CompletionForm): Promise<void> {
-    const req = await this._read(exchange, form)
+    const req = await this._read(exchange, form).catch((err: unknown) => { throw entryRefusal(err, exchange.headers.idempotencyKey) })
     const record = openRecord(this._ctx, req)
     await endRecord(this._ctx, record, () => this._serve(exchange, req, record))
   }
--- a/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
@@ -11,6 +11,7 @@
 import { KeyedArrival, toKeyedRequest } from './JaymillKeyedArrival.js'
 import { OwnedRequests } from './JaymillOwnedRequests.js'
 import { UndecidedError } from './JaymillUndecidedError.js'
+import { entryRefusal } from '../callers/JaymillEntryRefusal.js'
 
 /** Entry side of requests that must not run twice: finds the owner of the key and passes the request to it. */
 export class KeyedRequests {
@@ -38,7 +39,9 @@
     const owner = new AbortController()
     const { signal } = withDeadline(exchange, match.route, owner.signal)
     try {
-      await this._persist(await this._arrival(exchange, match, record), exchange.res, signal)
+      const arrival = await this._arrival(exchange, match, record)
+        .catch((err: unknown) => { throw entryRefusal(err, exchange.headers.idempotencyKey) })
+      await this._persist(arrival, exchange.res, signal)
     } finally {
       owner.abort()
     }
