--- a/packages/bench/src/__tests__/unit/JaymillOwnershipWalk.test.ts
+++ b/packages/bench/src/__tests__/unit/JaymillOwnershipWalk.test.ts
@@ -1,12 +1,13 @@
 import {
-  Activation, GroupList, KeyRecord, KeyRecords, LeaseKeeper, ListHistory, Recovery, RecordState, TakeOver
+  Activation, DecisionKind, GroupList, KeyRecord, KeyRecords, LEASE_MS, LeaseKeeper, ListHistory, Recovery, RecordState, TakeOver
 } from '@jaymill/core'
 import fc from 'fast-check'
 import { describe, expect, test } from 'vitest'
+import { OwnerCluster } from '../../model/JaymillOwnerCluster.js'
 import { OwnershipWalk, PartsFactory, Violation } from '../../model/JaymillOwnershipWalk.js'
 import { walkArbitrary } from '../../model/JaymillWalkArbitrary.js'
 
-const SEED = 2
+const SEED = 3
 const RUNS = 300
 
 class EternalLease extends LeaseKeeper {
@@ -21,6 +22,12 @@
   }
 }
 
+class EarlyMove extends Activation {
+  override allMoved (): boolean {
+    return true
+  }
+}
+
 class NoRecovery extends Recovery {
   override complete (published: GroupList): ListHistory {
     const history = new ListHistory()
@@ -75,3 +82,25 @@
     expect(walk(parts).violations).not.toEqual([])
   })
 })
+
+describe('a host that has not heard of the new list', () => {
+  const ids = ['host-0', 'host-1', 'host-2']
+  const rest = ids.slice(1)
+
+  function runsOnBothSides (parts?: () => { activation: Activation }): number {
+    const cluster = new OwnerCluster(ids, parts)
+    cluster.cut(['host-0'])
+    cluster.publish({ revision: 2, members: rest, owners: rest }, rest)
+    cluster.run(LEASE_MS / 2)
+    const reqs = Array.from({ length: 20 }, () => cluster.mint()).filter(req => cluster.hosts.get('host-0')?.ownerOf(req) === 'host-0')
+    const run = (entry: string) => reqs.map(req => cluster.ask(entry, req)?.kind === DecisionKind.Run)
+    const [old, fresh] = [run('host-0'), run('host-1')]
+    expect(old).toContain(true)
+    return reqs.filter((_, i) => old[i] === true && fresh[i] === true).length
+  }
+
+  test('keeps its keys from the new owner until its lease has run out', () => {
+    expect(runsOnBothSides()).toBe(0)
+    expect(runsOnBothSides(() => ({ activation: new EarlyMove() }))).toBeGreaterThan(0)
+  })
+})
--- a/packages/bench/src/model/constants.ts
+++ b/packages/bench/src/model/constants.ts
@@ -48,3 +48,9 @@
 
 /** Sampling error allowed in that share. */
 export const KEPT_RANGE_SAMPLING = 0.03
+
+/** Key ranges of a large fleet. */
+export const GROUP_RANGES = 128
+
+/** Availability zones of a large fleet; the first three are one region. */
+export const GROUP_ZONES = 5
--- a/packages/bench/src/model/main.ts
+++ b/packages/bench/src/model/main.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_RUNS } from './constants.js'
 import { OwnershipWalk, Violation } from './JaymillOwnershipWalk.js'
 import { availabilityReport } from './JaymillAvailability.js'
+import { groupReport } from './JaymillGroupCost.js'
 import { costReport } from './JaymillOwnerCost.js'
 import { ModelLine, modelLine } from './JaymillModelLine.js'
 import { walkArbitrary } from './JaymillWalkArbitrary.js'
@@ -26,6 +27,6 @@
 
 const { values } = parseArgs({ options: { seed: { type: 'string' }, runs: { type: 'string' }, json: { type: 'boolean' } } })
 const seed = Number(values.seed ?? 1)
-const lines = [...walkReport(seed, Number(values.runs ?? DEFAULT_RUNS)), ...availabilityReport(seed), ...costReport()]
+const lines = [...walkReport(seed, Number(values.runs ?? DEFAULT_RUNS)), ...availabilityReport(seed), ...costReport(), ...groupReport()]
 lines.forEach(line => process.stdout.write(values.json === true ? `${JSON.stringify(line)}\n` : `${line.name}: ${line.value} ${line.unit}\n`))
 process.exitCode = lines.every(line => line.ok) ? 0 : 1
--- a/packages/core/src/idempotency/JaymillKeyOwner.ts
+++ b/packages/core/src/idempotency/JaymillKeyOwner.ts
@@ -121,7 +121,7 @@
       incarnation: open.incarnation,
       seq: open.seq,
       recovered: this._history !== undefined,
-      adopted: history.adopted,
+      adopted: [...history.adopted],
       floor: history.floor,
       completeFrom: this._history === undefined ? 0 : history.completeFrom,
       revisions: history.revisions,
--- a/packages/core/src/idempotency/constants.ts
+++ b/packages/core/src/idempotency/constants.ts
@@ -31,8 +31,5 @@
 /** Answers kept at once, in bytes. */
 export const MAX_ANSWERS_BYTES = 16 * 1_024 * 1_024
 
-/** Hosts up to which one lease group holds all keys. */
-export const SINGLE_GROUP_HOSTS = 7
-
 /** Hosts of a lease group in a larger fleet. */
 export const LEASE_GROUP_SIZE = 5
--- a/packages/daemon/src/idempotency/JaymillKeyOwnerDriver.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyOwnerDriver.ts
@@ -3,7 +3,7 @@
 import type { HostSettings } from '@jaymill/settings'
 import type { Logger } from 'winston'
 import type { PeerNetwork } from '../peers/JaymillPeerNetwork.js'
-import { QUESTION_TIMEOUT_MS, TICK_MS } from './constants.js'
+import { MAX_FORMER_HOSTS, QUESTION_TIMEOUT_MS, TICK_MS } from './constants.js'
 
 /** What the driver needs of its host. */
 export interface KeyOwnerDriverOptions {
@@ -99,7 +99,8 @@
     const hosts = this._published()
     if (hosts === undefined || hosts === this._hosts) return
     this._hosts = hosts
-    hosts.hosts.forEach(({ id, peerUrl }) => this._urls.set(id, peerUrl))
+    hosts.hosts.forEach(({ id, peerUrl }) => { this._urls.delete(id); this._urls.set(id, peerUrl) })
+    ;[...this._urls.keys()].slice(0, -hosts.hosts.length - MAX_FORMER_HOSTS).forEach(id => this._urls.delete(id))
     this.owner.publish(toGroupList(hosts), this.at)
   }
 
--- a/packages/daemon/src/idempotency/constants.ts
+++ b/packages/daemon/src/idempotency/constants.ts
@@ -36,3 +36,6 @@
 
 /** Time for an earlier owner of a key to say what it remembers, in milliseconds. */
 export const RECALL_TIMEOUT_MS = 1_000
+
+/** Hosts that have left the list whose addresses are still known. */
+export const MAX_FORMER_HOSTS = 256
