--- a/packages/core/src/admission/JaymillAdmissionConstants.ts
+++ b/packages/core/src/admission/JaymillAdmissionConstants.ts
@@ -15,3 +15,6 @@
 
 /** Tokens that an account may save up, as time at its rate, in milliseconds. */
 export const BURST_MS = 1_000
+
+/** Bookings that one queue tries at once while they are granted. */
+export const MAX_BOOKINGS_IN_FLIGHT = 4
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -1,6 +1,7 @@
 export * from './JaymillAccountLimiter.js'
 export * from './JaymillAdmissionConstants.js'
 export * from './JaymillAdmissionQueue.js'
+export * from './JaymillBookingWindow.js'
 export * from './JaymillFairQueue.js'
 export * from './JaymillGossipLimiter.js'
 export * from './JaymillTokenBucket.js'
--- a/packages/daemon/src/routing/JaymillAccountGate.ts
+++ b/packages/daemon/src/routing/JaymillAccountGate.ts
@@ -1,5 +1,5 @@
 import {
-  AccountConfig, AccountLimit, ErrorKind, HostState, LeasedLimiter, OWNER_WAIT_MS, rendezvousOwner, RequestError, TokenLease
+  AccountConfig, AccountLimit, ErrorKind, HostState, LeasedLimiter, rendezvousOwner, RequestError, TokenLease
 } from '@jaymill/core'
 import { accountLimits, LimitUnit, limitKey } from './JaymillAccountLimits.js'
 import type { RoutingParts } from './JaymillRoutingParts.js'
@@ -60,7 +60,7 @@
     const hosts = this._parts.hosts().hosts.filter(({ state }) => state === HostState.Live)
     const owner = rendezvousOwner(limit.accountId, hosts.map(({ id }) => ({ id, weight: 1 })))
     if (owner === undefined || owner.id === this._parts.identity.id) return await this._owner.lease(question)
-    const limited = AbortSignal.any([signal, AbortSignal.timeout(OWNER_WAIT_MS)])
+    const limited = AbortSignal.any([signal, AbortSignal.timeout(this._parts.ownerWaitMs)])
     return await this._parts.peers.client(owner.id).leaseTokens(question, limited).catch(() => undefined)
   }
 }
--- a/packages/daemon/src/routing/JaymillPeerSlotBooker.ts
+++ b/packages/daemon/src/routing/JaymillPeerSlotBooker.ts
@@ -1,6 +1,6 @@
 import {
   Booking, BookingRequest, BookingWalk, CostChooser, EndpointChooser, EndpointFacts, EndpointState, ErrorKind, fleetIndex,
-  GrantAnswer, GrantAsk, grantId, GrantQuestion, GrantRefusal, GrantRequest, GRANT_USE_BY_MS, OWNER_WAIT_MS, PoolConfig, RequestError,
+  GrantAnswer, GrantAsk, grantId, GrantQuestion, GrantRefusal, GrantRequest, GRANT_USE_BY_MS, PoolConfig, RequestError,
   SilentOwners, SlotBooker, SlotOwnership
 } from '@jaymill/core'
 import type { GrantKeeper } from './JaymillGrantKeeper.js'
@@ -65,7 +65,7 @@
     signal.throwIfAborted()
     const question: GrantQuestion = { endpointId: ask.endpointId, request }
     if (ask.hostId === this._parts.identity.id) return await this._owner.grant(question)
-    const limited = AbortSignal.any([signal, AbortSignal.timeout(OWNER_WAIT_MS)])
+    const limited = AbortSignal.any([signal, AbortSignal.timeout(this._parts.ownerWaitMs)])
     try {
       const answer = await this._parts.peers.client(ask.hostId).grant(question, limited)
       signal.throwIfAborted()
--- a/packages/daemon/src/routing/JaymillPoolQueue.ts
+++ b/packages/daemon/src/routing/JaymillPoolQueue.ts
@@ -1,9 +1,9 @@
 import {
-  AdmissionDenial, AdmissionItem, AdmissionQueue, Booking, BookingRequest, Clock, ErrorKind, JaymillError, Random, RequestError,
+  AdmissionDenial, AdmissionItem, AdmissionQueue, Booking, BookingRequest, BookingWindow, Clock, ErrorKind, JaymillError, Random, RequestError,
   SlotBooker
 } from '@jaymill/core'
 import type { RoutingParts } from './JaymillRoutingParts.js'
-import { BOOKINGS_IN_FLIGHT, BOOK_RETRY_MS } from './JaymillRoutingTimes.js'
+import { BOOK_RETRY_MS } from './JaymillRoutingTimes.js'
 
 /** A request that waits for a booking. */
 export interface WaitingBooking extends AdmissionItem {
@@ -19,6 +19,7 @@
   private readonly _booker: SlotBooker
   private readonly _clock: Clock
   private readonly _random: Random
+  private readonly _window = new BookingWindow()
   private _inFlight = 0
 
   /**
@@ -54,7 +55,7 @@
 
   private _pump (): void {
     this._expire()
-    const item = this._inFlight < BOOKINGS_IN_FLIGHT ? this._queue.take() : undefined
+    const item = this._inFlight < this._window.size ? this._queue.take() : undefined
     if (item === undefined) return
     this._inFlight++
     this._book(item).catch(item.reject)
@@ -69,6 +70,7 @@
   private async _book (item: WaitingBooking): Promise<void> {
     try {
       const booking = await this._booker.book(item.req, item.signal)
+      this._window.granted()
       this._queue.started(item, this._clock.nowMs())
       this._settle(item, booking)
       this._end()
@@ -90,6 +92,7 @@
       this._end()
       return
     }
+    this._window.refused()
     this._queue.putBack(item)
     setTimeout(() => this._end(), BOOK_RETRY_MS * (0.5 + this._random.next()))
   }
--- a/packages/daemon/src/routing/JaymillRoutingParts.ts
+++ b/packages/daemon/src/routing/JaymillRoutingParts.ts
@@ -14,6 +14,8 @@
   readonly hosts: () => HostList
   /** Requests of one class that may wait before one pool. */
   readonly maxQueued: number
+  /** Longest wait for an owner's answer, in milliseconds. */
+  readonly ownerWaitMs: number
   /** Share of work an endpoint should get by its health, 0 to 1. */
   readonly weightOf: (poolId: string, endpointId: string) => number
 }
--- a/packages/daemon/src/routing/JaymillRoutingTimes.ts
+++ b/packages/daemon/src/routing/JaymillRoutingTimes.ts
@@ -19,9 +19,6 @@
 /** Mean pause before a booking that was refused is tried again, in milliseconds. */
 export const BOOK_RETRY_MS = 10
 
-/** Bookings that one pool's queue has in flight. */
-export const BOOKINGS_IN_FLIGHT = 4
-
 /** Wait for the first message of a host whose list may be late, before its silence counts, in milliseconds. */
 export const FIRST_MESSAGE_WAIT_MS = 5_000
 
