Show that a killed host leaves no engine memory held

Cause: nothing showed the cancel of orphans with real processes. Change: a failure test kills a host with a long stream running.

--- a/packages/bench/src/__tests__/failure/JaymillHostProcesses.test.ts
+++ b/packages/bench/src/__tests__/failure/JaymillHostProcesses.test.ts
@@ -48,4 +48,13 @@
     await until('pieces freed', () => heldPieces() === 0)
     expect(site.decode.some(({ running }) => running > 0)).toBe(false)
   })
+
+  test('that is killed leaves no engine memory held: the other hosts cancel what it ran', async () => {
+    const caller = await callerOf(2)
+    const onEvent = (count: number): void => { if (count === 3) site.hosts[2]?.signal('SIGKILL') }
+    await caller.stream(wearReport(5), 30_000, { onEvent }).catch(() => undefined)
+    expect(site.decode.some(({ running }) => running > 0)).toBe(true)
+    await until('pieces freed', () => heldPieces() === 0)
+    expect(site.decode.some(({ running }) => running > 0)).toBe(false)
+  })
 })
