--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -176,6 +176,7 @@
       fleetRevision: () => revisionOf(() => this._documents.fleet()),
       hostListRevision: () => revisionOf(() => this._documents.hosts()),
       documentsOverdue: () => this._documents.lags(this._ctx.clock.nowMs()).filter(({ overdue }) => overdue).length,
+      keys: () => this._ctx.keys.status(),
       burnRoutes: () => this._ctx.burn.routes(this._ctx.clock.nowMs())
     })
     return await new MetricsServer(metrics, this._owner.signal).listen(settings.listen.metrics)
--- a/packages/daemon/src/metrics/JaymillHostMetrics.ts
+++ b/packages/daemon/src/metrics/JaymillHostMetrics.ts
@@ -1,4 +1,5 @@
 import type { BurnRow, RequestRecord } from '@jaymill/core'
+import type { KeyOwnerStatus } from '../idempotency/JaymillKeyOwnerDriver.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { INTER_TOKEN_BUCKETS_S, SECOND_MS, SECOND_US, TTFT_BUCKETS_S } from './constants.js'
 import { BoundedLabel } from './JaymillBoundedLabel.js'
@@ -15,6 +16,8 @@
   readonly hostListRevision: () => number
   /** Published documents that are known to be newer than those in force, for longer than they may. */
   readonly documentsOverdue: () => number
+  /** State of the owner of idempotency keys. */
+  readonly keys: () => KeyOwnerStatus
   /** Burn of each route. */
   readonly burnRoutes: () => readonly BurnRow[]
 }
@@ -67,6 +70,10 @@
     this._gauge('jaymill_fleet_revision', 'Revision of the fleet configuration in force.', sources.fleetRevision)
     this._gauge('jaymill_host_list_revision', 'Revision of the host list in force.', sources.hostListRevision)
     this._gauge('jaymill_documents_overdue', 'Published documents that should be in force and are not.', sources.documentsOverdue)
+    this._gauge('jaymill_key_lease_seconds', 'Time left on the lease for idempotency keys.', () => sources.keys().leaseLeftMs / SECOND_MS)
+    this._gauge('jaymill_key_active_revision', 'Host list revision under which keys are owned; 0 for none.', () => sources.keys().activeRevision)
+    this._gauge('jaymill_key_records', 'Outcomes remembered.', () => sources.keys().records)
+    this._decisions(sources.keys)
     this._burn(sources.burnRoutes)
     this._gauge('process_resident_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
     this._cpu()
@@ -115,6 +122,19 @@
     const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect: () => gauge.set(read()) })
   }
 
+  private _decisions (read: MetricsSources['keys']): void {
+    const counter: Counter = new Counter({
+      name: 'jaymill_key_decisions_total',
+      help: 'Decisions of the owner of idempotency keys.',
+      labelNames: ['kind'],
+      registers: [this._registry],
+      collect: () => {
+        counter.reset()
+        Object.entries(read().decisions).forEach(([kind, count]) => counter.inc({ kind }, count))
+      }
+    })
+  }
+
   private _burn (read: MetricsSources['burnRoutes']): void {
     const gauge: Gauge = new Gauge({
       name: 'jaymill_burn_rate',
