Measure straggler scoring in the policy bench, and share evidence from two samples on

The policy bench gave every endpoint the weight 1, so scoring had no figure. Hosts of the bench now score, share a digest each second and use the weights; owner-no-health is the baseline. Detection waited for five own samples of eight tokens on one host; samples are now four tokens long and hosts share from two samples on.

--- a/packages/bench/src/policy/JaymillFakeAttempt.ts
+++ b/packages/bench/src/policy/JaymillFakeAttempt.ts
@@ -109,8 +109,11 @@
     this._prefillStarted = true
     figures.prefilled(tokens)
     this._onRound(RoundEnd.Started)
-    const engine = setup.fleet.prefill.get(this._prefill?.endpointId ?? '')
+    const endpointId = this._prefill?.endpointId ?? ''
+    const engine = setup.fleet.prefill.get(endpointId)
+    const startedMs = setup.loop.nowMs
     this._stopPrefill = engine?.run(tokens, () => {
+      this._on.host.health.prefilled(endpointId, setup.loop.nowMs - startedMs, tokens / this._on.site.prefillTokensPerMs)
       this._prefill?.release()
       this._kvUntilMs = setup.loop.nowMs + KV_LIFE_MS
       this._state = { ...this._state, prefillDone: true }
@@ -137,6 +140,7 @@
 
   private _engineRequest (): Parameters<NonNullable<ReturnType<HostSetup['fleet']['decode']['get']>>['start']>[0] {
     const { work } = this._item
+    const watch = this._on.host.health.tokenWatch(this._decode?.endpointId ?? '')
     return {
       requestId: work.id,
       attempt: this._number,
@@ -144,7 +148,7 @@
       incarnation: 1,
       pieces: this._pieces,
       tokens: work.answerTokens,
-      onToken: () => this._token(),
+      onToken: () => { watch(); this._token() },
       onEnd: () => {
         if (this._state.ended !== null) return
         if (this._on.host.alive) this._on.figures.finished(work)
--- a/packages/bench/src/policy/JaymillFakeHost.ts
+++ b/packages/bench/src/policy/JaymillFakeHost.ts
@@ -4,6 +4,7 @@
   localShareSlots, OwnedEndpoint, OwnerBook, OWNER_WAIT_MS, Random, SilentOwners, SlotOwnership
 } from '@jaymill/core'
 import type { EventLoop } from './JaymillEventLoop.js'
+import { DIGEST_EVERY_MS, FakeHealth } from './JaymillFakeHealth.js'
 import type { FakeFleet } from './JaymillFakeFleet.js'
 import { BookingMode, Policy } from './JaymillPolicy.js'
 import type { WorkRequest } from './JaymillWorkload.js'
@@ -38,6 +39,7 @@
   readonly zone: string
   readonly book: OwnerBook
   readonly queue = new AdmissionQueue<QueuedWork>()
+  readonly health: FakeHealth
   alive = true
   private readonly _setup: HostSetup
   private readonly _silent = new SilentOwners()
@@ -55,7 +57,10 @@
     this._list = list
     this._ownership = new SlotOwnership(setup.fleet.endpoints, list)
     this._choosers = new Map(Object.values(BookingStage).map(stage => [stage, setup.policy.newChooser()]))
+    const pools = Object.values(BookingStage).map(stage => setup.fleet.endpoints.filter(e => e.stage === stage).map(e => e.id))
+    this.health = new FakeHealth(setup.loop, setup.policy.newScorer(), id, pools)
     this.adopt(list)
+    setup.loop.after(DIGEST_EVERY_MS, () => this._shareHealth())
   }
 
   /**
@@ -92,7 +97,7 @@
 
   private _facts (endpoint: OwnedEndpoint): EndpointFacts {
     const usedSlots = this._used.get(endpoint.id) ?? this._setup.fleet.reported.get(endpoint.id) ?? 0
-    return { endpointId: endpoint.id, zone: endpoint.zone, slots: endpoint.slots, usedSlots, weight: 1, savedMs: 0 }
+    return { endpointId: endpoint.id, zone: endpoint.zone, slots: endpoint.slots, usedSlots, weight: this.health.weight(endpoint.id), savedMs: 0 }
   }
 
   private _walk (walk: BookingWalk, req: GrantRequest, onDone: (held: HeldCapacity | null) => void): void {
@@ -161,6 +166,14 @@
     })
   }
 
+  private _shareHealth (): void {
+    if (!this.alive) return
+    const digest = this.health.digest()
+    const others = this._list.hosts.filter(({ id }) => id !== this.id)
+    others.forEach(({ id }) => this._send(id, host => host.health.merge(digest)))
+    this._setup.loop.after(DIGEST_EVERY_MS, () => this._shareHealth())
+  }
+
   private _noteFree (endpointId: string, answer: GrantAnswer): void {
     const slots = this._setup.fleet.endpoints.find(endpoint => endpoint.id === endpointId)?.slots ?? 0
     const full = answer.refusal === GrantRefusal.NoSlot || answer.refusal === GrantRefusal.NoPieces
--- a/packages/bench/src/policy/JaymillPolicy.ts
+++ b/packages/bench/src/policy/JaymillPolicy.ts
@@ -5,10 +5,13 @@
   EndpointChooser,
   JustInTime,
   LeastKnownLoadChooser,
+  NoStragglerScorer,
+  ObservedPaceScorer,
   PowerOfTwoChooser,
   PrefillFirst,
   ReserveDecodeFirst,
-  RoundRobinChooser
+  RoundRobinChooser,
+  StragglerScorer
 } from '@jaymill/core'
 
 /** How a host gets capacity on the endpoint it has chosen. */
@@ -27,6 +30,7 @@
   readonly mode: BookingMode
   readonly counting: CountingRule
   readonly newChooser: () => EndpointChooser
+  readonly newScorer: () => StragglerScorer
   readonly reservation: DecodeReservation
   /** Whether requests wait in the order of arrival, without classes and accounts. */
   readonly fifo: boolean
@@ -40,6 +44,7 @@
   mode: BookingMode.Owner,
   counting: EXACT,
   newChooser: () => new CostChooser(),
+  newScorer: () => new ObservedPaceScorer(),
   reservation: new ReserveDecodeFirst(),
   fifo: false
 }
@@ -47,14 +52,16 @@
 /** What it is measured against. */
 export const BASELINES: readonly Policy[] = [
   { ...CHOSEN, name: 'owner-fifo', fifo: true },
+  { ...CHOSEN, name: 'owner-no-health', newScorer: () => new NoStragglerScorer() },
   { ...CHOSEN, name: 'owner-prefill-first', reservation: new PrefillFirst() },
   { ...CHOSEN, name: 'owner-just-in-time', counting: CountingRule.Expected, reservation: new JustInTime() },
-  { ...CHOSEN, name: 'local-share', mode: BookingMode.LocalShare, newChooser: () => new LeastKnownLoadChooser() },
+  { ...CHOSEN, name: 'local-share', mode: BookingMode.LocalShare, newChooser: () => new LeastKnownLoadChooser(), newScorer: () => new NoStragglerScorer() },
   unbooked('round-robin', () => new RoundRobinChooser()),
   unbooked('least-known-load', () => new LeastKnownLoadChooser()),
   unbooked('power-of-two', () => new PowerOfTwoChooser())
 ]
 
 function unbooked (name: string, newChooser: () => EndpointChooser): Policy {
-  return { name, mode: BookingMode.None, counting: EXACT, newChooser, reservation: new PrefillFirst(), fifo: false }
+  const newScorer = (): StragglerScorer => new NoStragglerScorer()
+  return { name, mode: BookingMode.None, counting: EXACT, newChooser, newScorer, reservation: new PrefillFirst(), fifo: false }
 }
--- a/packages/core/src/health/JaymillObservedPaceScorer.ts
+++ b/packages/core/src/health/JaymillObservedPaceScorer.ts
@@ -1,5 +1,5 @@
 import {
-  EJECT_SIGMAS, EJECT_SLOWNESS, MAX_DIGEST_ENTRIES, MAX_EJECTED_SHARE, MAX_HOST_SAMPLES, MIN_SAMPLES, MIN_SIGMA, MIN_WEIGHT,
+  EJECT_SIGMAS, EJECT_SLOWNESS, MAX_DIGEST_ENTRIES, MAX_EJECTED_SHARE, MAX_HOST_SAMPLES, MIN_SAMPLES, MIN_SHARED_SAMPLES, MIN_SIGMA, MIN_WEIGHT,
   PROBE_WEIGHT, REDUCE_SIGMAS
 } from './constants.js'
 import { Ejection, EjectionState } from './JaymillEjection.js'
@@ -150,7 +150,7 @@
 
 function ownEntry (key: string, window: PaceWindow, nowMs: number): PaceEntry[] {
   const samples = window.count(nowMs)
-  if (samples < MIN_SAMPLES) return []
+  if (samples < MIN_SHARED_SAMPLES) return []
   const [measure, endpointId] = splitKey(key)
   return [{ endpointId, measure, pace: Number(window.centre(nowMs).toFixed(3)), samples }]
 }
--- a/packages/core/src/health/constants.ts
+++ b/packages/core/src/health/constants.ts
@@ -4,6 +4,8 @@
 export const MAX_SAMPLES = 64
 /** Samples from which an endpoint is judged. */
 export const MIN_SAMPLES = 5
+/** Samples from which a host shares what it saw; several hosts together reach `MIN_SAMPLES`. */
+export const MIN_SHARED_SAMPLES = 2
 /** Share of the evidence on one endpoint that a single host may have, in samples. */
 export const MAX_HOST_SAMPLES = 32
 /** Consistency factor of the median absolute deviation for a normal distribution. */
--- a/packages/daemon/src/streams/constants.ts
+++ b/packages/daemon/src/streams/constants.ts
@@ -1,5 +1,5 @@
 /** Tokens between two observations of an endpoint's pace. */
-export const OBSERVE_EVERY_TOKENS = 8
+export const OBSERVE_EVERY_TOKENS = 4
 /** Expected time of a prefill apart from its tokens. */
 export const PREFILL_BASE_MS = 20
 /** Expected time of each prompt token. */
