--- a/packages/core/src/health/JaymillObservedPaceScorer.ts
+++ b/packages/core/src/health/JaymillObservedPaceScorer.ts
@@ -71,11 +71,10 @@
   }
 
   private _deviations (pool: readonly string[], nowMs: number): Map<string, Deviation> {
-    const shared = this._digests.entries(nowMs)
+    const shared = groupByKey(this._digests.entries(nowMs))
     const worst = new Map<string, Deviation>()
     MEASURES.forEach(measure => {
-      const entries = shared.filter(entry => entry.measure === measure)
-      const paces = pool.map(endpointId => ({ endpointId, pace: this._pace(endpointId, measure, entries, nowMs) }))
+      const paces = pool.map(endpointId => ({ endpointId, pace: this._pace(endpointId, measure, shared, nowMs) }))
       const known = paces.filter(({ pace }) => !Number.isNaN(pace))
       const centre = median(known.map(({ pace }) => pace))
       const sigma = Math.max(MIN_SIGMA, robustSigma(known.map(({ pace }) => pace)))
@@ -87,10 +86,11 @@
     return worst
   }
 
-  private _pace (endpointId: string, measure: PaceMeasure, shared: readonly PaceEntry[], nowMs: number): number {
-    const own = this._windows.get(keyOf(endpointId, measure))
+  private _pace (endpointId: string, measure: PaceMeasure, shared: ReadonlyMap<string, PaceEntry[]>, nowMs: number): number {
+    const key = keyOf(endpointId, measure)
+    const own = this._windows.get(key)
     const ownSamples = own?.count(nowMs) ?? 0
-    const peers = shared.filter(entry => entry.endpointId === endpointId)
+    const peers = shared.get(key) ?? []
     const total = peers.reduce((sum, entry) => sum + entry.samples, ownSamples)
     if (total < MIN_SAMPLES) return NaN
     const views = peers.map(entry => ({ value: entry.pace, weight: entry.samples }))
@@ -148,6 +148,17 @@
   return `${measure}/${endpointId}`
 }
 
+function groupByKey (entries: readonly PaceEntry[]): Map<string, PaceEntry[]> {
+  const groups = new Map<string, PaceEntry[]>()
+  entries.forEach(entry => {
+    const key = keyOf(entry.endpointId, entry.measure)
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [entry])
+    else group.push(entry)
+  })
+  return groups
+}
+
 function ownEntry (key: string, window: PaceWindow, nowMs: number): PaceEntry[] {
   const samples = window.count(nowMs)
   if (samples < MIN_SHARED_SAMPLES) return []
--- a/packages/core/src/health/JaymillPaceWindow.ts
+++ b/packages/core/src/health/JaymillPaceWindow.ts
@@ -5,12 +5,14 @@
 export class PaceWindow {
   private _values: number[] = []
   private _times: number[] = []
+  private _centre: number | null = null
 
   /**
    * @param value - Logarithm of observed by expected time.
    * @param nowMs - Monotonic time in milliseconds.
    */
   add (value: number, nowMs: number): void {
+    this._centre = null
     this._values.push(value)
     this._times.push(nowMs)
     if (this._values.length > MAX_SAMPLES) this._dropOldest(1)
@@ -32,7 +34,8 @@
    */
   centre (nowMs: number): number {
     this.count(nowMs)
-    return median(this._values)
+    this._centre ??= median(this._values)
+    return this._centre
   }
 
   /** Forgets everything. */
@@ -42,6 +45,7 @@
 
   private _dropOldest (count: number): void {
     if (count === 0) return
+    this._centre = null
     this._values = this._values.slice(count)
     this._times = this._times.slice(count)
   }
