Print the burn report at the end of the demo

Cause: the demo showed what callers got, but not how it counts against the service level. Change: the report of the hosts that still run, with the table of the command line.

--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+import { burnTable } from '@jaymill/cli'
+import { BurnReport, mergeBurnReports } from '@jaymill/core'
 import sade from 'sade'
 import { DEMO_MODEL } from './JaymillDemoDocuments.js'
 import { DEMO_ADMIN_TOKEN, DemoFleet } from './JaymillDemoFleet.js'
@@ -9,6 +11,8 @@
   new ReportsScenario(), new BookingScenario(), new CancelScenario(), new EndpointDeathScenario(), new GracefulStopScenario()
 ]
 
+const BURN_ACCOUNTS = 10
+
 function describeFleet (fleet: DemoFleet): object {
   const pools = { prefill: fleet.prefill, decode: fleet.decode, counter: fleet.services }
   return {
@@ -33,6 +37,15 @@
   return ok
 }
 
+async function printBurn (fleet: DemoFleet): Promise<void> {
+  const headers = { Authorization: `Bearer ${DEMO_ADMIN_TOKEN}` }
+  const reports = await Promise.all(fleet.hosts.map(async ({ urls }) => (
+    await fetch(`${urls.admin}/burn`, { headers }).then(async res => [await res.json() as BurnReport], () => [])
+  )))
+  console.log(`\nService-level burn on the ${reports.flat().length} hosts that still run:`)
+  console.log(burnTable(mergeBurnReports(reports.flat(), BURN_ACCOUNTS)))
+}
+
 async function main (opts: { keep?: boolean, 'log-level': string }): Promise<void> {
   const owner = new AbortController()
   const fleet = new DemoFleet({ logLevel: opts['log-level'] })
@@ -46,6 +59,7 @@
     return
   }
   const ok = await play(fleet)
+  await printBurn(fleet)
   owner.abort()
   process.exit(ok ? 0 : 1)
 }
