Let any number of cancels listen to the signal of a host

Cause: the demo printed a warning about a listener leak; the eleventh concurrent cancel listens to the host's signal. Change: no limit of listeners on that signal; each one is removed when its cancel ends, so this is no leak. Measured: the warning is gone from the demo.

--- a/packages/daemon/src/JaymillDaemon.ts
+++ b/packages/daemon/src/JaymillDaemon.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { BurnRecorder, ErrorKind, HostIdentity, HostList, OWNER_WAIT_MS, PeerStatus, PlatformReader, RequestError, RequestLog } from '@jaymill/core'
 import { HttpOrderClient, HttpServiceClient, PeerHandlers, UndiciEngineClient } from '@jaymill/adapters'
 import { HostSettings, readSecret } from '@jaymill/settings'
@@ -33,6 +34,8 @@
 import { isAnswerPath } from './streams/JaymillAnswerWire.js'
 import { RemoteAnswers } from './streams/JaymillRemoteAnswers.js'
 
+/** Every running cancel and retry listens to the signal of the host. */
+const UNLIMITED = 0
 const REQUESTS_KEPT = 10_000
 const NOT_READY_RETRY_AFTER_MS = 1_000
 
@@ -65,6 +68,7 @@
    * @param log - Logger; by default structured lines on standard error.
    */
   constructor (settings: HostSettings, log: Logger = createHostLogger(settings.log.level, settings.host.id)) {
+    setMaxListeners(UNLIMITED, this._owner.signal)
     const clock = new SystemClock()
     const identity: HostIdentity = { ...settings.host, incarnation: settings.host.incarnation ?? clock.wallMs() }
     const documents = this._documents = new PublishedDocuments(log)
