Try a booking without a key at another owner when its owner is gone

Cause: a request without a key kept its minted key when the connection to the key's owner was refused, so it waited for a host that was dead until its time was up. Change: nothing has left the entry host then, so it mints a younger key, which may belong to a live owner. Conclusion: only callers' own keys wait for the list.

--- a/packages/bench/src/__tests__/failure/JaymillBookings.test.ts
+++ b/packages/bench/src/__tests__/failure/JaymillBookings.test.ts
@@ -1,4 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { DemoCaller } from '../../demo/JaymillDemoCaller.js'
+import { DemoFleet } from '../../demo/JaymillDemoFleet.js'
 import { until } from '../../demo/JaymillUntil.js'
 import { SplitFleet } from './SplitFleet.js'
 
@@ -94,6 +96,18 @@
   })
 })
 
+describe('a host that died under a list that is still in force', () => {
+  test('does not stop bookings without a key', async () => {
+    const direct = new DemoFleet({ prefill: 1, decode: 1, services: 1 })
+    await direct.start(owner.signal)
+    direct.hosts[0]?.daemon.kill()
+    const caller = new DemoCaller(direct.hosts[1]?.urls.caller ?? '')
+    const answers = await Promise.all(Array.from({ length: 9 }, async (_, i) => await caller.book(`guide ${i}`)))
+    expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 201))
+    expect(direct.services[0]?.bookings.length).toBe(answers.length)
+  })
+})
+
 describe('two lists in a partition', () => {
   test('never let both sides run a key', async () => {
     const key = fleet.keyOf('host-1', IDS)
--- a/packages/bench/src/model/JaymillAvailability.ts
+++ b/packages/bench/src/model/JaymillAvailability.ts
@@ -2,7 +2,7 @@
 import type { Instant, KeyOwnerParts } from '@jaymill/core'
 import { OwnerCluster } from './JaymillOwnerCluster.js'
 import { ModelLine, modelLine } from './JaymillModelLine.js'
-import { BOOKINGS_PER_ROUND, KEPT_RANGE_KEYS, KEPT_RANGE_SAMPLING, LIST_LAG_MS, OUTAGE_MS, PARTITION_MS, RESENDS, RESEND_MS, ROUND_MS } from './constants.js'
+import { BOOKINGS_PER_ROUND, ENTRY_TRIES, KEPT_RANGE_KEYS, KEPT_RANGE_SAMPLING, LIST_LAG_MS, OUTAGE_MS, PARTITION_MS, RESENDS, RESEND_MS, ROUND_MS } from './constants.js'
 
 const IDS = Array.from({ length: 7 }, (_, i) => `host-${i}`)
 
@@ -14,7 +14,7 @@
 }
 
 interface OpenBooking {
-  readonly req: KeyedRequest
+  req: KeyedRequest
   readonly entry: string
   sent: number
 }
@@ -31,9 +31,16 @@
   private _rounds = 0
   private readonly _cluster: OwnerCluster
   private readonly _random: SeededRandom
-
-  constructor (cluster: OwnerCluster, seed: number) {
+  private readonly _keyed: boolean
+
+  /**
+   * @param cluster - Hosts.
+   * @param seed - Seed of the choice of entry hosts.
+   * @param keyed - Whether callers send keys; else the entry host mints a younger one for each try.
+   */
+  constructor (cluster: OwnerCluster, seed: number, keyed: boolean) {
     this._cluster = cluster
+    this._keyed = keyed
     this._random = new SeededRandom(seed)
   }
 
@@ -48,7 +55,7 @@
 
   /** Ends the load; open bookings count as undecided. */
   end (): void {
-    this.undecided += this._open.length
+    this._open.forEach(() => this._giveUp())
     this._open = []
   }
 
@@ -62,12 +69,18 @@
   private _ask (item: OpenBooking): void {
     const kind = this._cluster.ask(item.entry, item.req)?.kind
     item.sent += 1
+    if (!this._keyed) item.req = this._cluster.mint()
     if (kind === DecisionKind.NotRun) this.refused += 1
     else if (kind === DecisionKind.Run || kind === DecisionKind.Replay) this._done(item)
-    else if (item.sent > RESENDS) this.undecided += 1
+    else if (item.sent > (this._keyed ? RESENDS : ENTRY_TRIES)) this._giveUp()
     else this._open.push(item)
   }
 
+  private _giveUp (): void {
+    if (this._keyed) this.undecided += 1
+    else this.refused += 1
+  }
+
   private _done (item: OpenBooking): void {
     this.ran += 1
     if (item.sent > 1) this.delayed += 1
@@ -128,16 +141,24 @@
 }
 
 function loadLines (name: string, scenario: Scenario, seed: number): ModelLine[] {
+  const keyed = play(scenario, seed, true)
+  const unkeyed = play(scenario, seed, false)
+  return [
+    modelLine(`availability.${name}.arrived`, keyed.arrived, 'bookings'),
+    modelLine(`availability.${name}.undecided`, keyed.undecided, 'bookings'),
+    modelLine(`availability.${name}.refused`, keyed.refused, 'bookings'),
+    modelLine(`availability.${name}.ran-after-resend`, keyed.delayed, 'bookings'),
+    modelLine(`availability.${name}.without-key.refused`, unkeyed.refused, 'bookings'),
+    modelLine(`availability.${name}.without-key.ran-late`, unkeyed.delayed, 'bookings')
+  ]
+}
+
+function play (scenario: Scenario, seed: number, keyed: boolean): BookingLoad {
   const cluster = new OwnerCluster(IDS)
-  const load = new BookingLoad(cluster, seed)
+  const load = new BookingLoad(cluster, seed, keyed)
   scenario(cluster, ms => cluster.run(ms, () => load.round()))
   load.end()
-  return [
-    modelLine(`availability.${name}.arrived`, load.arrived, 'bookings'),
-    modelLine(`availability.${name}.undecided`, load.undecided, 'bookings'),
-    modelLine(`availability.${name}.refused`, load.refused, 'bookings'),
-    modelLine(`availability.${name}.ran-after-resend`, load.delayed, 'bookings')
-  ]
+  return load
 }
 
 function keptRangesLines (): ModelLine[] {
--- a/packages/bench/src/model/constants.ts
+++ b/packages/bench/src/model/constants.ts
@@ -37,6 +37,9 @@
 /** Times a caller resends an undecided booking. */
 export const RESENDS = 10
 
+/** Times an entry host tries a booking without a key again. */
+export const ENTRY_TRIES = 8
+
 /** Time between resends, in milliseconds. */
 export const RESEND_MS = 500
 
--- a/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
@@ -85,7 +85,8 @@
     if (res.headersSent || res.destroyed) return undefined
     if (err instanceof UndecidedError && err.mayPass(arrival)) return arrival.minted ? { ...arrival, key: mintKey() } : arrival
     if (!(err instanceof RequestError) || err.kind !== ErrorKind.PeerFailed) return undefined
-    return err.ran === RanState.No ? arrival : { ...arrival, minted: false }
+    if (err.ran !== RanState.No) return { ...arrival, minted: false }
+    return arrival.minted ? { ...arrival, key: mintKey() } : arrival
   }
 
   private async _pass (arrival: KeyedArrival, res: ServerResponse, signal: AbortSignal): Promise<void> {
