--- a/packages/bench/src/policy/JaymillFakeAttempt.ts
+++ b/packages/bench/src/policy/JaymillPolicyAttempt.ts
@@ -1,5 +1,5 @@
 import { BookingStage, GrantRequest, PLAN_START, PlanAction, PlanEnd, PlanState } from '@jaymill/core'
-import type { FakeHost, HeldCapacity, HostSetup, QueuedWork } from './JaymillFakeHost.js'
+import type { PolicyHost, HeldCapacity, HostSetup, QueuedWork } from './JaymillPolicyHost.js'
 import { FigureCollector, WasteCause } from './JaymillPolicyFigures.js'
 import { HELD_LIMIT_MS, PolicySite } from './JaymillPolicySite.js'
 
@@ -7,7 +7,7 @@
 export interface AttemptSetup {
   readonly site: PolicySite
   readonly setup: HostSetup
-  readonly host: FakeHost
+  readonly host: PolicyHost
   readonly figures: FigureCollector
 }
 
@@ -24,7 +24,7 @@
 const STEP_MS = 28
 
 /** One attempt at a request, driven by the policy's reservation planner. */
-export class FakeAttempt {
+export class PolicyAttempt {
   private readonly _on: AttemptSetup
   private readonly _item: QueuedWork
   private readonly _number: number
--- a/packages/bench/src/policy/JaymillFakeHost.ts
+++ b/packages/bench/src/policy/JaymillPolicyHost.ts
@@ -15,7 +15,7 @@
   readonly fleet: FakeFleet
   readonly policy: Policy
   readonly random: Random
-  readonly hosts: Map<string, FakeHost>
+  readonly hosts: Map<string, PolicyHost>
   /** Whether two hosts can talk. */
   readonly reachable: (from: string, to: string) => boolean
 }
@@ -34,7 +34,7 @@
 const MAX_ASKS = 4
 
 /** One entry host: owner of some endpoints, booker for its own requests. */
-export class FakeHost {
+export class PolicyHost {
   readonly id: string
   readonly zone: string
   readonly book: OwnerBook
@@ -157,7 +157,7 @@
     return stillGrants ? ask.hostId : owner?.id ?? ask.hostId
   }
 
-  private _send (to: string, deliver: (host: FakeHost) => void): void {
+  private _send (to: string, deliver: (host: PolicyHost) => void): void {
     const target = this._setup.hosts.get(to)
     const delayMs = this._setup.fleet.delayMs(this.zone, this._setup.fleet.zoneOfHost(to))
     if (!this.alive) return
--- a/packages/bench/src/policy/JaymillPolicyRun.ts
+++ b/packages/bench/src/policy/JaymillPolicyRun.ts
@@ -1,8 +1,8 @@
 import { BookingWindow, findOrphans, HostFacts, HostList, ORPHAN_SILENCE_MS, OwnerRole, Random, RouteClass, SeededRandom } from '@jaymill/core'
 import { EventLoop } from './JaymillEventLoop.js'
-import { FakeAttempt, RoundEnd } from './JaymillFakeAttempt.js'
+import { PolicyAttempt, RoundEnd } from './JaymillPolicyAttempt.js'
 import { FakeFleet } from './JaymillFakeFleet.js'
-import { FakeHost, HostSetup, QueuedWork } from './JaymillFakeHost.js'
+import { PolicyHost, HostSetup, QueuedWork } from './JaymillPolicyHost.js'
 import { BookingMode, Policy } from './JaymillPolicy.js'
 import { FigureCollector, RunFigures } from './JaymillPolicyFigures.js'
 import { PolicySite, TTFT_TARGET_MS } from './JaymillPolicySite.js'
@@ -18,12 +18,12 @@
 export class PolicyRun {
   readonly loop = new EventLoop()
   readonly fleet: FakeFleet
-  readonly hosts = new Map<string, FakeHost>()
+  readonly hosts = new Map<string, PolicyHost>()
   readonly figures = new FigureCollector()
   private readonly _site: PolicySite
   private readonly _scenario: PolicyScenario
   private readonly _setup: HostSetup
-  private readonly _attempts = new Map<string, { hostId: string, attempt: FakeAttempt }>()
+  private readonly _attempts = new Map<string, { hostId: string, attempt: PolicyAttempt }>()
   private readonly _rounds = new Map<string, number>()
   private readonly _booking = new Map<string, number>()
   private readonly _windows = new Map<string, BookingWindow>()
@@ -64,7 +64,7 @@
    * @param id - Host that starts.
    */
   addHost (id: string): void {
-    this.hosts.set(id, new FakeHost(this._setup, id, this._list))
+    this.hosts.set(id, new PolicyHost(this._setup, id, this._list))
   }
 
   /**
@@ -122,7 +122,7 @@
     return { id: work.id, accountId, weight: 1, tokens, class: name, latestStartMs, work }
   }
 
-  private _pump (host: FakeHost): void {
+  private _pump (host: PolicyHost): void {
     if (!host.alive) return
     host.queue.expire(this.loop.nowMs).forEach(item => this.figures.refuse(item.work))
     const busy = this._booking.get(host.id) ?? 0
@@ -133,16 +133,16 @@
     this._pump(host)
   }
 
-  private _startRound (host: FakeHost, item: QueuedWork): void {
+  private _startRound (host: PolicyHost, item: QueuedWork): void {
     const round = (this._rounds.get(item.id) ?? 0) + 1
     this._rounds.set(item.id, round)
     const on = { site: this._site, setup: this._setup, host, figures: this.figures }
-    const attempt = new FakeAttempt(on, item, round, end => this._endRound(host, item, end))
+    const attempt = new PolicyAttempt(on, item, round, end => this._endRound(host, item, end))
     this._attempts.set(item.id, { hostId: host.id, attempt })
     attempt.drive()
   }
 
-  private _endRound (host: FakeHost, item: QueuedWork, end: RoundEnd): void {
+  private _endRound (host: PolicyHost, item: QueuedWork, end: RoundEnd): void {
     if (end === RoundEnd.Started) {
       this._windowOf(host).granted()
       this.figures.admit(item.work)
@@ -156,18 +156,18 @@
     this.loop.after(PUMP_RETRY_MS * (0.5 + this._random.next()), () => this._endBooking(host))
   }
 
-  private _windowOf (host: FakeHost): BookingWindow {
+  private _windowOf (host: PolicyHost): BookingWindow {
     const window = this._windows.get(host.id) ?? new BookingWindow()
     this._windows.set(host.id, window)
     return window
   }
 
-  private _endBooking (host: FakeHost): void {
+  private _endBooking (host: PolicyHost): void {
     this._booking.set(host.id, (this._booking.get(host.id) ?? 1) - 1)
     this._pump(host)
   }
 
-  private _callerGone (host: FakeHost, item: QueuedWork): void {
+  private _callerGone (host: PolicyHost, item: QueuedWork): void {
     this.figures.gone(item.work)
     const running = this._attempts.get(item.id)
     this._attempts.delete(item.id)
@@ -184,7 +184,7 @@
     })
   }
 
-  private _tickEndpoint (host: FakeHost, endpointId: string, facts: readonly HostFacts[]): void {
+  private _tickEndpoint (host: PolicyHost, endpointId: string, facts: readonly HostFacts[]): void {
     const engine = this.fleet.decode.get(endpointId)
     const report = engine?.report() ?? { running: [], heldPieces: 0, ageMs: 0 }
     if (host.book.roleOf(endpointId) === OwnerRole.Owner || this._ownerSilent(endpointId, host)) {
@@ -193,12 +193,12 @@
     host.book.reconcile(endpointId, report, this.loop.nowMs)
   }
 
-  private _ownerSilent (endpointId: string, deputy: FakeHost): boolean {
+  private _ownerSilent (endpointId: string, deputy: PolicyHost): boolean {
     const owner = [...this.hosts.values()].find(host => host.book.roleOf(endpointId) === OwnerRole.Owner && host !== deputy)
     return owner === undefined || this._factsOf(owner, deputy).silentMs >= ORPHAN_SILENCE_MS
   }
 
-  private _factsOf (host: FakeHost, viewer: FakeHost): HostFacts {
+  private _factsOf (host: PolicyHost, viewer: PolicyHost): HostFacts {
     const listed = this._list.hosts.some(entry => entry.id === host.id)
     const silentSinceMs = this._setup.reachable(viewer.id, host.id) ? this._killedAtMs.get(host.id) : this._partitionedAtMs
     const silentMs = silentSinceMs === undefined ? 0 : this.loop.nowMs - silentSinceMs
