--- a/packages/bench/src/speed/main.ts
+++ b/packages/bench/src/speed/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { cpus, totalmem } from 'node:os'
 import sade from 'sade'
+import { measureDecisions } from './JaymillDecisionSpeed.js'
 import { measureIdle } from './JaymillIdleSpeed.js'
 import { measureRequests } from './JaymillRequestSpeed.js'
 
@@ -10,6 +11,7 @@
 async function main (opts: { hosts: string | number }): Promise<void> {
   const owner = new AbortController()
   console.log(JSON.stringify({ node: process.version, cores: cpus().length, memoryGiB: Math.round(totalmem() / GIB) }))
+  measureDecisions()
   await measureRequests(owner.signal)
   for (const count of String(opts.hosts).split(',').map(Number)) await measureIdle(count, owner.signal)
   owner.abort()
