Add the quarantine command and show what holds a host back

Cause: suspects could be listed and cleared only by raw calls, and status did not say why a host is not ready.

--- a/packages/cli/src/JaymillAdminClient.ts
+++ b/packages/cli/src/JaymillAdminClient.ts
@@ -16,6 +16,8 @@
 
 const EXIT_CODES: Readonly<Record<number, ExitCode>> = { 401: ExitCode.Unauthorized, 404: ExitCode.NotFound }
 
+type Method = 'GET' | 'POST' | 'DELETE'
+
 /** Calls the administration API of one host. */
 export class AdminClient {
   /** Base URL of the host. */
@@ -54,7 +56,18 @@
     return await this._call('POST', path)
   }
 
-  private async _call (method: 'GET' | 'POST', path: string): Promise<unknown> {
+  /**
+   * Removes a resource.
+   *
+   * @param path - Path.
+   * @returns Parsed JSON.
+   * @throws CliError whose exit code tells what failed.
+   */
+  async delete (path: string): Promise<unknown> {
+    return await this._call('DELETE', path)
+  }
+
+  private async _call (method: Method, path: string): Promise<unknown> {
     const { status, text } = await this._send(method, path)
     const body = parseJson(text)
     if (status === 200 && body !== undefined) return body
@@ -62,7 +75,7 @@
     throw new CliError(EXIT_CODES[status] ?? ExitCode.Refused, `${this.url}: ${detail}`)
   }
 
-  private async _send (method: 'GET' | 'POST', path: string): Promise<{ status: number, text: string }> {
+  private async _send (method: Method, path: string): Promise<{ status: number, text: string }> {
     try {
       const res = await request(`${this.url}${path}`, {
         method,
--- a/packages/cli/src/JaymillProgram.ts
+++ b/packages/cli/src/JaymillProgram.ts
@@ -3,6 +3,7 @@
 import { runDemo } from './commands/JaymillDemoCommand.js'
 import { runDrain } from './commands/JaymillDrainCommand.js'
 import { runCheck, runDiff } from './commands/JaymillFileCommands.js'
+import { runQuarantine } from './commands/JaymillQuarantineCommand.js'
 import { runEndpoints, runExplain, runRequests, runStatus } from './commands/JaymillHostCommands.js'
 import { CliError } from './JaymillCliError.js'
 import { ExitCode } from './JaymillExitCode.js'
@@ -22,6 +23,7 @@
   explain: ['REQUEST_ID'],
   drain: [],
   burn: [],
+  quarantine: [],
   demo: []
 }
 
@@ -92,6 +94,8 @@
   admin(prog.command('burn').describe('Show the burn of the service level per route and account.'))
     .option('--limit', 'Most accounts').option('--svg', 'Write a plot to this file').option('--html', 'Write a page to this file')
     .action((flags: Flags) => runBurn(flags, terminal))
+  admin(prog.command('quarantine').describe('List requests that are suspected of stopping endpoints.'))
+    .option('--clear', 'Clear this request').action((flags: Flags) => runQuarantine(flags, terminal))
   prog.command('demo').describe('Run the demo of a checkout; --keep stays up.').action(() => ExitCode.Ok)
   return prog
 }
--- a/packages/cli/src/__tests__/failure/JaymillProgram.test.ts
+++ b/packages/cli/src/__tests__/failure/JaymillProgram.test.ts
@@ -41,7 +41,9 @@
   '/requests?state=ended': { matching: 0, requests: [] },
   '/requests/r%201/explain': { requestId: 'r 1', accountId: 'a', routeId: 'stock', state: 'failed', tokens: 0, decisions: [{ atMs: 1, event: 'admit', reason: 'admitted' }] },
   '/burn?limit=50': burn.report(0, 50),
-  '/drain': { draining: true }
+  '/drain': { draining: true },
+  '/quarantine': { suspects: [{ fingerprint: 'f1', refused: true, deaths: [{ endpointId: 'd1' }, { endpointId: 'd2' }] }] },
+  '/quarantine/f1': { cleared: true }
 }
 const serve = (req: IncomingMessage, res: ServerResponse): void => {
   const answer = ANSWERS[req.url ?? '']
@@ -88,6 +90,9 @@
     [['explain', 'nobody'], ExitCode.NotFound],
     [['burn'], ExitCode.Problems],
     [['drain'], ExitCode.Ok],
+    [['quarantine'], ExitCode.Problems],
+    [['quarantine', '--clear', 'f1'], ExitCode.Ok],
+    [['quarantine', '--clear', 'f2'], ExitCode.NotFound],
     [['status', '--token', 'wrong'], ExitCode.Unauthorized],
     [['status', '--admin', 'http://127.0.0.1:1'], ExitCode.Unreachable],
     [['status', '--admin', 'nonsense'], ExitCode.Usage]
--- a/packages/cli/src/commands/JaymillHostCommands.ts
+++ b/packages/cli/src/commands/JaymillHostCommands.ts
@@ -13,6 +13,7 @@
   readonly fleetRevision: number
   readonly hostListRevision: number
   readonly running: number
+  readonly configuration?: { readonly gate: { readonly reason?: string } }
 }
 
 interface EndpointAnswer {
@@ -52,9 +53,9 @@
   const { answers, exitCode } = await askHosts<StatusAnswer>(adminClients(flags, terminal), '/status', terminal)
   const rows = answers.map(({ value }) => [
     value.host.id, value.host.zone, value.draining ? 'draining' : value.ready ? 'ready' : 'not ready',
-    value.fleetRevision, value.hostListRevision, value.running
+    value.fleetRevision, value.hostListRevision, value.running, value.configuration?.gate.reason ?? ''
   ])
-  const table = () => textTable(['host', 'zone', 'state', 'fleet revision', 'host list revision', 'running'], rows)
+  const table = () => textTable(['host', 'zone', 'state', 'fleet revision', 'host list revision', 'running', 'held back by'], rows)
   terminal.print(flags.json === true ? JSON.stringify(answers) : table())
   if (exitCode !== ExitCode.Ok) return exitCode
   return answers.every(({ value }) => value.ready) ? ExitCode.Ok : ExitCode.Problems
