--- a/packages/bench/src/speed/main.ts
+++ b/packages/bench/src/speed/main.ts
@@ -3,6 +3,7 @@
 import sade from 'sade'
 import { measureDecisions } from './JaymillDecisionSpeed.js'
 import { measureIdle } from './JaymillIdleSpeed.js'
+import { measureHeartbeats } from './JaymillHeartbeatSpeed.js'
 import { measureRequests } from './JaymillRequestSpeed.js'
 
 const DEFAULT_COUNTS = '3,7,21'
@@ -12,6 +13,7 @@
   const owner = new AbortController()
   console.log(JSON.stringify({ node: process.version, cores: cpus().length, memoryGiB: Math.round(totalmem() / GIB) }))
   measureDecisions()
+  await measureHeartbeats(owner.signal)
   await measureRequests(owner.signal)
   for (const count of String(opts.hosts).split(',').map(Number)) await measureIdle(count, owner.signal)
   owner.abort()
--- a/packages/core/src/__tests__/unit/JaymillMembership.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillMembership.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from 'vitest'
 import {
-  EndpointAvailability, GONE_AFTER_SUSPECT_MS, Heartbeat, heartbeatPartners, HostList, HostState, LEAVING_MARK_MS, Membership, MembershipEffect,
+  DIGEST_CHARS_PER_SECOND, DigestPacer, EndpointAvailability, GONE_AFTER_SUSPECT_MS, Heartbeat, heartbeatPartners, HostList, HostState, LEAVING_MARK_MS, Membership, MembershipEffect,
   MembershipEffectKind, PAUSE_GAP_MS, PeerStatus, SUSPECT_AFTER_MS
 } from '../../index.js'
 
@@ -132,6 +132,12 @@
   })
 })
 
+test('health digests stay under their rate however often heartbeats are sent', () => {
+  const pacer = new DigestPacer()
+  const sent = Array.from({ length: 1_000 }, (_, i) => i * 10).filter(nowMs => pacer.take(2_000, nowMs))
+  expect(sent.length * 2_000).toBe(10 * DIGEST_CHARS_PER_SECOND)
+})
+
 describe('EndpointAvailability', () => {
   test('a report holds at once, lapses when its first observer gave it, and is not renewed by passing it on', () => {
     const [a, b] = [new EndpointAvailability(), new EndpointAvailability()]
--- a/packages/core/src/membership/JaymillMembershipConstants.ts
+++ b/packages/core/src/membership/JaymillMembershipConstants.ts
@@ -24,3 +24,5 @@
 export const MAX_MARKS_PER_BEAT = 32
 /** Most reports of leaving endpoints that are kept. */
 export const MAX_MARKS = 1_024
+/** Rate at which health digests are sent, in characters per second. */
+export const DIGEST_CHARS_PER_SECOND = 4_000
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,3 +1,4 @@
+export * from './JaymillDigestPacer.js'
 export * from './JaymillEndpointAvailability.js'
 export * from './JaymillHeartbeatPartners.js'
 export * from './JaymillMembership.js'
--- a/packages/daemon/src/membership/JaymillMembershipDriver.ts
+++ b/packages/daemon/src/membership/JaymillMembershipDriver.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from 'node:util'
 import {
-  Clock, EndpointAvailability, Heartbeat, HeartbeatHandler, HostIdentity, HostList, Membership, MembershipEffect, MembershipEffectKind,
+  Clock, DigestPacer, EndpointAvailability, Heartbeat, HeartbeatHandler, HostIdentity, HostList, Membership, MembershipEffect, MembershipEffectKind,
   PeerChangedEffect, PeerStatus, PlatformKey, SendEffect
 } from '@jaymill/core'
 import type { Logger } from 'winston'
@@ -36,6 +36,7 @@
 export class MembershipDriver extends HeartbeatHandler {
   private readonly _options: MembershipDriverOptions
   private readonly _membership: Membership
+  private readonly _pacer = new DigestPacer()
   private readonly _endpoints = new EndpointAvailability()
   private readonly _peerListeners: PeerListener[] = []
   private readonly _declaredGoneListeners: Array<() => void> = []
@@ -166,8 +167,10 @@
 
   private _beat (to: string): Heartbeat {
     const { documents, health, clock } = this._options
-    const leavingEndpoints = this._endpoints.marks(clock.nowMs())
-    return this._membership.beat({ documents: documents.marks, leavingEndpoints, health: health.digest() }, to)
+    const nowMs = clock.nowMs()
+    const digest = health.digest()
+    const facts = { documents: documents.marks, leavingEndpoints: this._endpoints.marks(nowMs) }
+    return this._membership.beat({ ...facts, health: this._pacer.take(digest.length, nowMs) ? digest : '' }, to)
   }
 
   private _receive (beat: Heartbeat): void {
@@ -206,11 +209,14 @@
   }
 
   private async _trySend ({ hostId, peerUrl }: SendEffect): Promise<void> {
-    const { peers, log } = this._options
     const signal = this._signal
     if (signal === undefined || signal.aborted) return
-    const answer = await peers.clientAt(hostId, peerUrl).heartbeat(this._beat(hostId), signal)
-      .catch((err: unknown) => { log.debug('heartbeat unanswered', { hostId, err }) })
+    const answer = await this._exchange(hostId, peerUrl, signal)
+      .catch((err: unknown) => { this._options.log.debug('heartbeat unanswered', { hostId, err }) })
     if (answer !== undefined) this._receive(answer)
   }
+
+  private async _exchange (hostId: string, peerUrl: string, signal: AbortSignal): Promise<Heartbeat> {
+    return await this._options.peers.clientAt(hostId, peerUrl).heartbeat(this._beat(hostId), signal)
+  }
 }
