Place endpoint owners from hashes made once

Cause: a change of the host list placed every endpoint anew with one 64-bit hash and one sort for each pair of endpoint and host, in up to three rooms; at 4,800 endpoints and 420 hosts one placing held the event loop for 826 ms, 26 times the target between two tokens. Change: ids are hashed once and mixed (finalizer of MurmurHash3), the two best are found without sorting, and all rooms share the placement of a list. Ruled out: placing lazily; the owner's book needs all places at once.

--- a/packages/bench/src/speed/JaymillDecisionSpeed.ts
+++ b/packages/bench/src/speed/JaymillDecisionSpeed.ts
@@ -42,7 +42,7 @@
     const list = hostList(hosts)
     const size = `${endpoints} endpoints, ${hosts} hosts`
     const places = facts.map(({ endpointId: id, zone }) => ({ id, zone }))
-    printFigure({ name: `placing all owners after a list change, ${size}`, value: timeMs(() => new SlotOwnership(places, list).of('endpoint-0')), unit: 'ms' })
+    printFigure({ name: `placing all owners after a list change, ${size}`, value: timeMs(() => new SlotOwnership(places, { ...list }).of('endpoint-0')), unit: 'ms' })
     const random = new SeededRandom(1)
     const chooser = new CostChooser()
     const req = { zone: 'zone-0', expectedMs: 500 }
--- a/packages/core/src/ownership/JaymillRendezvous.ts
+++ b/packages/core/src/ownership/JaymillRendezvous.ts
@@ -48,3 +48,65 @@
 export function rendezvousOwner<Node extends RendezvousNode> (key: string, nodes: readonly Node[]): Node | undefined {
   return rendezvousOrder(key, nodes)[0]
 }
+
+/**
+ * Finalizer of MurmurHash3 (Austin Appleby, public domain), 32 bits.
+ *
+ * @param hash - Hash to be mixed.
+ * @returns The mixed hash.
+ */
+function mix32 (hash: number): number {
+  const first = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  const second = Math.imul(first ^ (first >>> 13), 0xc2b2ae35)
+  return (second ^ (second >>> 16)) >>> 0
+}
+
+const TWO_POW_32 = 2 ** 32
+
+/** Nodes whose ids are hashed once, for placing many keys over many nodes. */
+export class RendezvousIndex<Node extends RendezvousNode> {
+  private readonly _nodes: readonly Node[]
+  private readonly _hashes: Uint32Array
+
+  /**
+   * @param nodes - Candidates.
+   */
+  constructor (nodes: readonly Node[]) {
+    this._nodes = nodes
+    this._hashes = Uint32Array.from(nodes, ({ id }) => hasher.h32(id))
+  }
+
+  /**
+   * Scores every node for a key.
+   *
+   * @param key - Key to be placed.
+   * @param weightOf - Share of the key that a node gets.
+   * @returns Scores in the order of the nodes; the largest wins.
+   */
+  scores (key: string, weightOf: (node: Node) => number): Float64Array {
+    const keyHash = hasher.h32(key)
+    const scores = new Float64Array(this._nodes.length)
+    this._nodes.forEach((node, i) => {
+      const uniform = (mix32(keyHash ^ (this._hashes[i] ?? 0)) + 0.5) / TWO_POW_32
+      scores[i] = weightOf(node) / -Math.log(uniform)
+    })
+    return scores
+  }
+
+  /**
+   * @param scores - Scores of a key.
+   * @param accepts - Nodes to choose from.
+   * @returns The accepted node with the largest score, or `undefined` when none is accepted.
+   */
+  best (scores: Float64Array, accepts: (node: Node) => boolean): Node | undefined {
+    let winner: Node | undefined
+    let highest = -Infinity
+    this._nodes.forEach((node, i) => {
+      const score = scores[i] ?? 0
+      if (score <= highest || !accepts(node)) return
+      winner = node
+      highest = score
+    })
+    return winner
+  }
+}
--- a/packages/core/src/routing/JaymillSlotOwnership.ts
+++ b/packages/core/src/routing/JaymillSlotOwnership.ts
@@ -1,5 +1,5 @@
 import { HostEntry, HostList, HostState } from '../fleet/JaymillHostList.js'
-import { rendezvousOrder } from '../ownership/JaymillRendezvous.js'
+import { RendezvousIndex } from '../ownership/JaymillRendezvous.js'
 import { DEPUTY_MIN_SLOTS, DEPUTY_SHARE, SAME_ZONE_WEIGHT } from './JaymillRoutingConstants.js'
 
 /** Hosts that may grant capacity of one endpoint. */
@@ -10,6 +10,51 @@
   readonly deputy: HostEntry | undefined
 }
 
+interface HostNode {
+  readonly id: string
+  readonly weight: number
+  readonly host: HostEntry
+}
+
+/** An endpoint as far as its place depends on it. */
+export interface PlacedEndpoint {
+  readonly id: string
+  readonly zone: string
+}
+
+/** Places endpoints over the hosts of one list; each endpoint is placed once. */
+class OwnerPlacement {
+  private readonly _index: RendezvousIndex<HostNode>
+  private readonly _owners = new Map<string, EndpointOwners>()
+
+  constructor (list: HostList) {
+    const live = list.hosts.filter(host => host.state === HostState.Live)
+    this._index = new RendezvousIndex(live.map(host => ({ id: host.id, weight: 1, host })))
+  }
+
+  of (endpoint: PlacedEndpoint): EndpointOwners {
+    const key = `${endpoint.zone}/${endpoint.id}`
+    const owners = this._owners.get(key) ?? this._place(endpoint)
+    this._owners.set(key, owners)
+    return owners
+  }
+
+  private _place (endpoint: PlacedEndpoint): EndpointOwners {
+    const scores = this._index.scores(endpoint.id, ({ host }) => host.zone === endpoint.zone ? SAME_ZONE_WEIGHT : 1)
+    const owner = this._index.best(scores, () => true)?.host
+    const elsewhere = this._index.best(scores, ({ host }) => host.zone !== owner?.zone)?.host
+    return { owner, deputy: elsewhere ?? this._index.best(scores, ({ host }) => host !== owner)?.host }
+  }
+}
+
+const placements = new WeakMap<HostList, OwnerPlacement>()
+
+function placementOf (list: HostList): OwnerPlacement {
+  const placement = placements.get(list) ?? new OwnerPlacement(list)
+  placements.set(list, placement)
+  return placement
+}
+
 /**
  * Places the grants of an endpoint by weighted rendezvous hashing over the published host list.
  *
@@ -17,12 +62,8 @@
  * @param list - Published list; leaving hosts own nothing.
  * @returns Owner and deputy; both `undefined` without live hosts.
  */
-export function endpointOwners (endpoint: { readonly id: string, readonly zone: string }, list: HostList): EndpointOwners {
-  const nodes = list.hosts
-    .filter(host => host.state === HostState.Live)
-    .map(host => ({ id: host.id, host, weight: host.zone === endpoint.zone ? SAME_ZONE_WEIGHT : 1 }))
-  const [owner, ...others] = rendezvousOrder(endpoint.id, nodes).map(node => node.host)
-  return { owner, deputy: others.find(host => host.zone !== owner?.zone) ?? others[0] }
+export function endpointOwners (endpoint: PlacedEndpoint, list: HostList): EndpointOwners {
+  return placementOf(list).of(endpoint)
 }
 
 /**
@@ -45,7 +86,7 @@
    * @param endpoints - Every endpoint of the fleet.
    * @param list - Published host list.
    */
-  constructor (endpoints: readonly { readonly id: string, readonly zone: string }[], list: HostList) {
+  constructor (endpoints: readonly PlacedEndpoint[], list: HostList) {
     this._owners = new Map(endpoints.map(endpoint => [endpoint.id, endpointOwners(endpoint, list)]))
   }
 
