--- a/packages/bench/src/__tests__/failure/JaymillStreams.test.ts
+++ b/packages/bench/src/__tests__/failure/JaymillStreams.test.ts
@@ -68,13 +68,9 @@
 
   test('a full engine that answers 429 is left for another one', async () => {
     await startFleet(2)
-    const body = JSON.stringify({ prompt: 'x', max_tokens: 100_000, stream: true })
-    const fill = async (i: number): Promise<Response> => await fetch(`${fleet.decode[0]?.url ?? ''}/v1/completions`, {
-      method: 'POST', headers: { 'X-Request-Id': `other-${i}` }, body, signal: owner.signal
-    })
-    await Promise.all(Array.from({ length: 20 }, (_, i) => fill(i)))
+    fleet.decode[0]?.refuse(1)
     expect(isWhole(PROMPT, TOKENS, await caller.stream(PROMPT, TOKENS))).toBe(true)
-    expect(await runs(fleet.decode[0] as EngineStandIn)).toBe(21)
+    expect(await Promise.all(fleet.decode.map(runs))).toEqual([1, 1])
   })
 
   test('a stalled transfer is given up, both sides are freed and the answer is still whole', async () => {
--- a/packages/bench/src/speed/JaymillIdleSpeed.ts
+++ b/packages/bench/src/speed/JaymillIdleSpeed.ts
@@ -14,7 +14,11 @@
   readonly platformReadsPerSecond: number
 }
 
-async function peerBytes (site: ProcessSite): Promise<number> {
+/**
+ * @param site - Running hosts.
+ * @returns Bytes over all peer connections of all hosts; each byte is counted at both ends.
+ */
+export async function peerBytes (site: ProcessSite): Promise<number> {
   const each = await Promise.all(site.hosts.map(async host => {
     const { admin } = await host.listening()
     const res = await fetch(`${admin}/status`, { headers: { Authorization: `Bearer ${PROCESS_ADMIN_TOKEN}` } })
--- a/packages/bench/src/speed/JaymillRequestSpeed.ts
+++ b/packages/bench/src/speed/JaymillRequestSpeed.ts
@@ -13,12 +13,21 @@
 const CONCURRENCY = 40
 const MS_PER_SECOND = 1_000
 
-interface Timing {
+/** Times of one stream, in milliseconds. */
+export interface Timing {
   readonly firstMs: number
   readonly perTokenMs: number
 }
 
-async function timeStream (pool: Pool, headers: Record<string, string>, tokens: number): Promise<Timing> {
+/**
+ * Streams one completion.
+ *
+ * @param pool - Connections to a host or an engine.
+ * @param headers - Extra headers.
+ * @param tokens - Tokens wanted.
+ * @returns Time to the first token and between tokens.
+ */
+export async function timeStream (pool: Pool, headers: Record<string, string>, tokens: number): Promise<Timing> {
   const started = performance.now()
   const body = JSON.stringify({ model: DEMO_MODEL, prompt: 'Check pair 9 for wear.', max_tokens: tokens, stream: true })
   const res = await pool.request({ path: '/v1/completions', method: 'POST', headers, body })
@@ -38,7 +47,13 @@
   return timings
 }
 
-async function load (count: number, run: (index: number) => Promise<Timing>): Promise<void> {
+/**
+ * Runs work with a fixed concurrency.
+ *
+ * @param count - How often.
+ * @param run - Work.
+ */
+export async function load (count: number, run: (index: number) => Promise<Timing>): Promise<void> {
   let next = 0
   const worker = async (): Promise<void> => {
     while (next < count) await run(next++)
--- a/packages/bench/src/speed/main.ts
+++ b/packages/bench/src/speed/main.ts
@@ -2,6 +2,7 @@
 import { cpus, totalmem } from 'node:os'
 import sade from 'sade'
 import { measureDecisions } from './JaymillDecisionSpeed.js'
+import { measureFleetRequests } from './JaymillFleetSpeed.js'
 import { measureIdle } from './JaymillIdleSpeed.js'
 import { measureHeartbeats } from './JaymillHeartbeatSpeed.js'
 import { measureRequests } from './JaymillRequestSpeed.js'
@@ -15,6 +16,7 @@
   measureDecisions()
   await measureHeartbeats(owner.signal)
   await measureRequests(owner.signal)
+  await measureFleetRequests(owner.signal)
   for (const count of String(opts.hosts).split(',').map(Number)) await measureIdle(count, owner.signal)
   owner.abort()
   process.exit(0)
--- a/packages/bench/src/standins/JaymillEngineStandIn.ts
+++ b/packages/bench/src/standins/JaymillEngineStandIn.ts
@@ -46,6 +46,7 @@
   private readonly _exported = new Map<string, { pieces: number, requestId: string, attempt: number, timer: NodeJS.Timeout }>()
   private _cancelled = 0
   private _paceFactor = 1
+  private _refusals = 0
   private _stallsTransfers = false
   private _killOnPrompt: string | undefined
   private _order: Record<string, unknown> = { fencingToken: 0 }
@@ -74,6 +75,15 @@
     return [...this._running.values(), ...this._finished.values()].reduce((total, { tokens }) => total + tokens.length, 0)
   }
 
+  /**
+   * Answers the next calls as a full engine does, whatever the load report says.
+   *
+   * @param calls - How many.
+   */
+  refuse (calls: number): void {
+    this._refusals = calls
+  }
+
   /**
    * Slows the engine down.
    *
@@ -142,7 +152,7 @@
     this.note(req)
     const prompt = String(body.prompt)
     if (this._killOnPrompt !== undefined && prompt.includes(this._killOnPrompt)) return this.kill()
-    if (this._running.size >= this._opts.slots) return sendJson(res, 429, { error: 'full' })
+    if (this._refusals-- > 0 || this._running.size >= this._opts.slots) return sendJson(res, 429, { error: 'full' })
     const kv = body.kv_transfer_params as Record<string, unknown> | undefined
     if (kv?.do_remote_decode === true) return await this._prefill(req, res, prompt)
     if (kv?.do_remote_prefill === true && !await this._fetchKv(kv)) return sendJson(res, 410, { error: 'prefill result has expired' })
