Give class priority and loopback host settings one place each

Cause: the order of route classes was derived in four files, and two fleets of hosts on loopback built the same settings, zones and URL lists. Change: `ROUTE_CLASSES` and `routePriority` beside the fleet types; `loopbackSettings`, `zoneOf` and `urlsOf` for the demo and the site of processes. Behaviour is unchanged. Conclusion: a new class or setting is added once.

--- a/packages/bench/src/demo/JaymillDemoFleet.ts
+++ b/packages/bench/src/demo/JaymillDemoFleet.ts
@@ -3,7 +3,8 @@
 import { EngineStandIn, EngineStandInOptions } from '../standins/JaymillEngineStandIn.js'
 import { PlatformStandIn } from '../standins/JaymillPlatformStandIn.js'
 import { ServiceStandIn } from '../standins/JaymillServiceStandIn.js'
-import { DEMO_ZONES, demoFleet, demoHosts } from './JaymillDemoDocuments.js'
+import { demoFleet, demoHosts } from './JaymillDemoDocuments.js'
+import { loopbackSettings, urlsOf, zoneOf } from './JaymillLoopbackHost.js'
 import { until } from './JaymillUntil.js'
 
 /** Admin token of the demo's hosts. */
@@ -98,21 +99,7 @@
   }
 
   private _settings (id: string, index: number): object {
-    const listener = { address: '127.0.0.1', port: 0 }
-    return {
-      host: { id, zone: zoneOf(index), region: 'brittany' },
-      listen: { caller: listener, peer: listener, admin: listener, metrics: listener },
-      platform: { kind: 'http', url: this.platform.url },
-      limits: this._opts.limits,
-      credentials: { peerToken: { value: 'demo-peer' }, adminToken: { value: DEMO_ADMIN_TOKEN } }
-    }
+    const common = loopbackSettings({ id, index, platformUrl: this.platform.url, adminToken: DEMO_ADMIN_TOKEN })
+    return { ...common, limits: this._opts.limits }
   }
 }
-
-function zoneOf (index: number): string {
-  return DEMO_ZONES[index % DEMO_ZONES.length] ?? ''
-}
-
-function urlsOf (standIns: ReadonlyArray<{ url: string }>): string[] {
-  return standIns.map(({ url }) => url)
-}
--- a/packages/bench/src/processes/JaymillProcessSite.ts
+++ b/packages/bench/src/processes/JaymillProcessSite.ts
@@ -1,4 +1,5 @@
-import { demoFleet, demoHosts, DEMO_ZONES } from '../demo/JaymillDemoDocuments.js'
+import { demoFleet, demoHosts } from '../demo/JaymillDemoDocuments.js'
+import { loopbackSettings, urlsOf, zoneOf } from '../demo/JaymillLoopbackHost.js'
 import { until } from '../demo/JaymillUntil.js'
 import { HostProcess } from './JaymillHostProcess.js'
 import { EngineStandIn, EngineStandInOptions } from '../standins/JaymillEngineStandIn.js'
@@ -39,7 +40,6 @@
   async start (count: number, signal: AbortSignal): Promise<void> {
     const standIns = [this.platform, ...this.prefill, ...this.decode, ...this.services]
     await Promise.all(standIns.map(standIn => standIn.start(signal)))
-    const urlsOf = (items: ReadonlyArray<{ url: string }>): string[] => items.map(({ url }) => url)
     this.platform.publish('jaymill/fleet', withLargeSlots(demoFleet(1, {
       prefill: urlsOf(this.prefill), decode: urlsOf(this.decode), counter: urlsOf(this.services)
     })))
@@ -52,21 +52,12 @@
   }
 
   private _settings (index: number): object {
-    const listener = { address: '127.0.0.1', port: 0 }
-    return {
-      host: { id: `host-${index + 1}`, zone: zoneOf(index), region: 'brittany' },
-      listen: { caller: listener, peer: listener, admin: listener, metrics: listener },
-      platform: { kind: 'http', url: this.platform.url },
-      credentials: { peerToken: { value: 'site-peer' }, adminToken: { value: PROCESS_ADMIN_TOKEN } },
-      log: { level: 'error' }
-    }
+    const id = `host-${index + 1}`
+    const common = loopbackSettings({ id, index, platformUrl: this.platform.url, adminToken: PROCESS_ADMIN_TOKEN })
+    return { ...common, log: { level: 'error' } }
   }
 }
 
-function zoneOf (index: number): string {
-  return DEMO_ZONES[index % DEMO_ZONES.length] ?? ''
-}
-
 function withLargeSlots (fleet: ReturnType<typeof demoFleet>): ReturnType<typeof demoFleet> {
   const { slots, pieces } = LARGE
   const widen = (pool: typeof fleet.pools[number]): typeof pool => ({
--- a/packages/core/src/admission/JaymillAdmissionQueue.ts
+++ b/packages/core/src/admission/JaymillAdmissionQueue.ts
@@ -1,4 +1,5 @@
 import { RouteClass } from '../fleet/JaymillFleetConfig.js'
+import { ROUTE_CLASSES, routePriority } from '../fleet/JaymillRoutePriority.js'
 import { MAX_QUEUED_PER_CLASS, MIN_RETRY_AFTER_MS, PASSED_OVER_LIMIT, START_RATE_ALPHA } from './JaymillAdmissionConstants.js'
 import { FairItem, FairQueue } from './JaymillFairQueue.js'
 
@@ -26,11 +27,9 @@
   readonly retryAfterMs: number
 }
 
-const CLASSES: readonly RouteClass[] = Object.values(RouteClass)
-
 /** Queues of one host before the booking: by class, fair between accounts, with early refusal. */
 export class AdmissionQueue<Item extends AdmissionItem> {
-  private readonly _queues = new Map(CLASSES.map(name => [name, new FairQueue<Item>()]))
+  private readonly _queues = new Map(ROUTE_CLASSES.map(name => [name, new FairQueue<Item>()]))
   private readonly _passedOver = new Map<RouteClass, number>()
   private readonly _maxPerClass: number
   private _startIntervalMs: number | null = null
@@ -64,7 +63,7 @@
    * @returns The request, or `undefined` when nothing waits.
    */
   take (): Item | undefined {
-    const waiting = CLASSES.filter(name => this._queue(name).size > 0)
+    const waiting = ROUTE_CLASSES.filter(name => this._queue(name).size > 0)
     const starved = waiting.find(name => (this._passedOver.get(name) ?? 0) >= PASSED_OVER_LIMIT[name])
     const chosen = starved ?? waiting[0]
     return chosen === undefined ? undefined : this._queue(chosen).take()
@@ -108,14 +107,14 @@
    * @returns The requests, each to be refused as not run.
    */
   expire (nowMs: number): readonly Item[] {
-    return CLASSES.flatMap(name => this._queue(name).remove(item => item.latestStartMs < nowMs))
+    return ROUTE_CLASSES.flatMap(name => this._queue(name).remove(item => item.latestStartMs < nowMs))
   }
 
   /**
    * @returns Requests that wait.
    */
   get size (): number {
-    return CLASSES.reduce((sum, name) => sum + this._queue(name).size, 0)
+    return ROUTE_CLASSES.reduce((sum, name) => sum + this._queue(name).size, 0)
   }
 
   /**
@@ -126,14 +125,14 @@
   }
 
   private _waitMs (item: Item): number {
-    const higher = CLASSES.slice(0, CLASSES.indexOf(item.class))
+    const higher = ROUTE_CLASSES.slice(0, routePriority(item.class))
     const ahead = higher.reduce((sum, name) => sum + this._queue(name).size, this._queue(item.class).ahead(item))
     return ahead * (this._startIntervalMs ?? 0)
   }
 
   private _countPassedOver (served: RouteClass): void {
     this._passedOver.set(served, 0)
-    CLASSES.slice(CLASSES.indexOf(served) + 1)
+    ROUTE_CLASSES.slice(routePriority(served) + 1)
       .filter(name => this._queue(name).size > 0)
       .forEach(name => this._passedOver.set(name, (this._passedOver.get(name) ?? 0) + 1))
   }
--- a/packages/daemon/src/callers/JaymillServiceCall.ts
+++ b/packages/daemon/src/callers/JaymillServiceCall.ts
@@ -1,12 +1,11 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { ServiceAnswer } from '@jaymill/adapters'
-import { Booking, BookingStage, ErrorKind, fleetIndex, JaymillError, RanState, RequestError, RouteClass, ServiceMatch } from '@jaymill/core'
+import { Booking, BookingStage, ErrorKind, fleetIndex, JaymillError, RanState, RequestError, routePriority, ServiceMatch } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { PaceWatch } from '../streams/JaymillPaceWatch.js'
 
 /** Ends of a call that show only that it took long. */
 const SLOW_KINDS: readonly ErrorKind[] = [ErrorKind.Superseded, ErrorKind.Deadline, ErrorKind.Stalled]
-const PRIORITIES = Object.values(RouteClass)
 const DROPPED_HEADERS: readonly string[] = [
   'authorization', 'connection', 'content-length', 'expect', 'host', 'keep-alive', 'proxy-authorization',
   'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'x-deadline-ms', 'x-jaymill-route'
@@ -60,7 +59,7 @@
     expectedMs: route.ttftMs,
     exclude: copy.exclude,
     prefer: [],
-    priority: PRIORITIES.indexOf(route.class),
+    priority: routePriority(route.class),
     accountId,
     tokens: 0,
     latestStartInMs: route.ttftMs
--- a/packages/daemon/src/requests/JaymillCompletionRunner.ts
+++ b/packages/daemon/src/requests/JaymillCompletionRunner.ts
@@ -1,13 +1,11 @@
 import {
-  Booking, BookingRequest, BookingStage, EngineCall, fleetIndex, KvTransferParams, PaceMeasure, RequestEvent, RouteClass, TokenEvent
+  Booking, BookingRequest, BookingStage, EngineCall, fleetIndex, KvTransferParams, PaceMeasure, RequestEvent, routePriority, TokenEvent
 } from '@jaymill/core'
 import type { HostContext } from '../JaymillHostContext.js'
 import { AnswerRecovery } from '../streams/JaymillAnswerRecovery.js'
 import { expectedPrefillMs, expectedTransferMs, paceOf } from '../streams/JaymillPaceWatch.js'
 import { CompletionJob, estimateTokens, piecesOf } from './JaymillCompletionJob.js'
 
-const PRIORITIES = Object.values(RouteClass)
-
 /** A prefill result that an engine holds. */
 interface HeldPrefill {
   readonly call: EngineCall
@@ -136,7 +134,7 @@
       expectedMs: decode ? job.maxTokens * job.route.interTokenMs : prefillMs,
       exclude: recovery.exclude,
       prefer: [],
-      priority: PRIORITIES.indexOf(job.route.class),
+      priority: routePriority(job.route.class),
       accountId: job.account.id,
       tokens: promptTokens + job.maxTokens,
       latestStartInMs: recovery.assembler.attempt === 1 ? Math.max(0, job.route.ttftMs - prefillMs) : job.route.deadlineMs
@@ -163,7 +161,7 @@
       generated: recovery.assembler.text(),
       generatedTokens: recovery.assembler.lastId,
       maxTokens: job.maxTokens,
-      priority: PRIORITIES.indexOf(job.route.class),
+      priority: routePriority(job.route.class),
       sampling: job.sampling,
       pace: paceOf(job.route, firstTokenMs, job.deadlineAtMs - this._ctx.clock.nowMs())
     }
--- a/packages/daemon/src/routing/JaymillQueuedSlotBooker.ts
+++ b/packages/daemon/src/routing/JaymillQueuedSlotBooker.ts
@@ -1,9 +1,8 @@
-import { Booking, BookingRequest, BookingStage, RouteClass, SlotBooker } from '@jaymill/core'
+import { Booking, BookingRequest, BookingStage, ROUTE_CLASSES, RouteClass, SlotBooker } from '@jaymill/core'
 import type { AccountGate } from './JaymillAccountGate.js'
 import { PoolQueue } from './JaymillPoolQueue.js'
 import type { RoutingParts } from './JaymillRoutingParts.js'
 
-const CLASSES = Object.values(RouteClass)
 const MIN_FAIR_TOKENS = 1
 
 /** Lets requests wait for capacity in class and fair order, after their account's limits. */
@@ -37,7 +36,7 @@
         accountId: req.accountId,
         weight: this._parts.fleet().accounts.find(({ id }) => id === req.accountId)?.weight ?? 1,
         tokens: Math.max(MIN_FAIR_TOKENS, req.tokens),
-        class: CLASSES[req.priority] ?? RouteClass.Summary,
+        class: ROUTE_CLASSES[req.priority] ?? RouteClass.Summary,
         latestStartMs: this._parts.clock.nowMs() + req.latestStartInMs,
         req,
         signal,
