Route opaque requests on the users' platform: whole path, thin

Cause: the platform speaks opaque HTTP by host and path, publishes endpoints and configuration in a store that is only read, and engines reserve room themselves. No tests of the new path yet.

--- a/packages/core/src/errors/JaymillError.ts
+++ b/packages/core/src/errors/JaymillError.ts
@@ -12,6 +12,7 @@
   Unauthorized = 'unauthorized',
   NotFound = 'not-found',
   TooLarge = 'too-large',
+  HeaderTooLarge = 'header-too-large',
   Overloaded = 'overloaded',
   AccountLimit = 'account-limit',
   Stopping = 'stopping',
--- a/packages/core/src/errors/JaymillRequestError.ts
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -7,6 +7,7 @@
   [ErrorKind.Unauthorized]: 401,
   [ErrorKind.NotFound]: 404,
   [ErrorKind.TooLarge]: 413,
+  [ErrorKind.HeaderTooLarge]: 431,
   [ErrorKind.Overloaded]: 503,
   [ErrorKind.AccountLimit]: 429,
   [ErrorKind.Stopping]: 503,
--- /dev/null
+++ b/packages/daemon/src/ports/index.ts
@@ -0,0 +1,2 @@
+export * from './JaymillSystemClock.js'
+export * from './JaymillSystemRandom.js'
--- /dev/null
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -0,0 +1,133 @@
+import { Client, Pool, type Dispatcher } from 'undici'
+import type { EndpointRecord } from '@jaymill/core'
+import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, POOL_CONNECTIONS } from './constants.js'
+import { ExchangeError, ExchangeFailure } from './JaymillExchangeError.js'
+import { AnswerHandler, type OpenAnswer, type WholeAnswer } from './JaymillOpenAnswer.js'
+
+/** One HTTP call. */
+export interface EndpointCall {
+  readonly endpoint: EndpointRecord
+  readonly method: string
+  readonly path: string
+  /** Names and values, one after the other. */
+  readonly headers: readonly string[]
+  readonly body: Buffer | null
+  /**
+   * Whether the call needs a connection of its own. A kept connection may have been closed by the endpoint, or bear a
+   * late answer to an earlier request; a call that may run once at most does not take that risk.
+   */
+  readonly ownConnection: boolean
+}
+
+/** HTTP calls to endpoints, over kept connections where that is safe. */
+export class EndpointCalls {
+  private readonly _pools = new Map<string, Pool>()
+
+  /**
+   * Sends a call.
+   *
+   * @param call - The call.
+   * @param signal - Cancels it; the connection is closed then.
+   * @returns The answer when its head is there.
+   * @throws ExchangeError when no head arrives.
+   */
+  async open (call: EndpointCall, signal: AbortSignal): Promise<OpenAnswer> {
+    if (signal.aborted) throw new ExchangeError(ExchangeFailure.Connect, 'cancelled before it was sent')
+    const dispatcher = call.ownConnection ? newClient(call.endpoint.address) : this._pool(call.endpoint)
+    const answer = new Promise<OpenAnswer>((resolve, reject) => {
+      dispatcher.dispatch(toOptions(call), new AnswerHandler(signal, resolve, reject))
+    })
+    if (call.ownConnection) return await closeAfter(dispatcher as Client, answer)
+    return await answer
+  }
+
+  /**
+   * Sends a call and waits for its whole answer.
+   *
+   * @param call - The call.
+   * @param maxBytes - Largest body.
+   * @param signal - Cancels it.
+   * @returns The answer.
+   * @throws ExchangeError when no whole answer arrives.
+   */
+  async collect (call: EndpointCall, maxBytes: number, signal: AbortSignal): Promise<WholeAnswer> {
+    const { status, headers, body } = await this.open(call, signal)
+    return { status, headers, body: await readWhole(body, maxBytes) }
+  }
+
+  /**
+   * Closes kept connections to an endpoint that is no longer published; calls that are under way go on.
+   *
+   * @param endpoint - The endpoint.
+   */
+  forget (endpoint: EndpointRecord): void {
+    const pool = this._pools.get(endpoint.address)
+    this._pools.delete(endpoint.address)
+    pool?.close().catch(() => pool.destroy())
+  }
+
+  /**
+   * Drops kept connections to an endpoint that has shown no sign of life, so that the next call makes a new one.
+   *
+   * @param endpoint - The endpoint.
+   */
+  renew (endpoint: EndpointRecord): void {
+    this.forget(endpoint)
+  }
+
+  private _pool ({ address }: EndpointRecord): Pool {
+    const known = this._pools.get(address)
+    if (known !== undefined) return known
+    const pool = new Pool(`http://${address}`, { ...CLIENT_OPTIONS, connections: POOL_CONNECTIONS })
+    this._pools.set(address, pool)
+    return pool
+  }
+}
+
+const CLIENT_OPTIONS: Client.Options = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  connect: { timeout: CONNECT_TIMEOUT_MS },
+  keepAliveTimeout: KEEP_ALIVE_DEFAULT_MS,
+  keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
+}
+
+function newClient (address: string): Client {
+  return new Client(`http://${address}`, CLIENT_OPTIONS)
+}
+
+async function closeAfter (client: Client, answer: Promise<OpenAnswer>): Promise<OpenAnswer> {
+  const destroy = (): void => { client.destroy().catch(() => {}) }
+  try {
+    const open = await answer
+    open.body.once('close', destroy)
+    return open
+  } catch (err) {
+    destroy()
+    throw err
+  }
+}
+
+function toOptions ({ endpoint, method, path, headers, body }: EndpointCall): Dispatcher.DispatchOptions {
+  return { origin: `http://${endpoint.address}`, method: method as Dispatcher.HttpMethod, path, headers: [...headers], body }
+}
+
+/**
+ * Reads a body to its end.
+ *
+ * @param body - Body of an answer.
+ * @param maxBytes - Largest size.
+ * @returns The bytes.
+ * @throws ExchangeError when it breaks off or is larger.
+ */
+export async function readWhole (body: OpenAnswer['body'], maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size > maxBytes) throw new ExchangeError(ExchangeFailure.Malformed, `the answer exceeds ${maxBytes} bytes`)
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks, size)
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -0,0 +1,91 @@
+import { CallOutcome, type Candidate, type EndpointRecord, ErrorKind, isIdempotent, RequestError } from '@jaymill/core'
+import { RequestEnd, type GatewayRequest } from '../callers/JaymillGatewayRequest.js'
+import { forwardedHeaders } from '../callers/JaymillReply.js'
+import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
+import type { CallIntent } from '../ports/JaymillWireDialect.js'
+import type { ForwardingParts } from './JaymillForwardingParts.js'
+
+/** Serves requests of one kind. */
+export abstract class Forwarder {
+  protected readonly _parts: ForwardingParts
+
+  /**
+   * @param parts - State of the host.
+   */
+  constructor (parts: ForwardingParts) {
+    this._parts = parts
+  }
+
+  /**
+   * Serves a request to its end.
+   *
+   * @param request - The request.
+   * @throws RequestError when the host itself has to answer.
+   */
+  abstract forward (request: GatewayRequest): Promise<void>
+
+  protected _call (request: GatewayRequest, endpoint: EndpointRecord, intent: Omit<CallIntent, 'deadlineMs' | 'endpointId'>): EndpointCall {
+    const { dialect } = this._parts
+    const { req, body } = request
+    const headers = forwardedHeaders(req.rawHeaders, name => dialect.isReserved(name))
+    const told = dialect.callHeaders({ ...intent, endpointId: endpoint.id, deadlineMs: this._leftMs(request) })
+    return {
+      endpoint,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers: [...headers, ...told],
+      body,
+      ownConnection: !isIdempotent(request.route)
+    }
+  }
+
+  protected _leftMs ({ deadlineMs }: GatewayRequest): number {
+    return Math.max(0, Math.floor(deadlineMs - this._parts.clock.nowMs()))
+  }
+
+  protected _candidates (records: readonly EndpointRecord[], initialMs: number): readonly Candidate[] {
+    const { load, reliability, pace, clock } = this._parts
+    const nowMs = clock.nowMs()
+    return records.map(record => ({
+      record,
+      work: load.at(record.id),
+      unitMs: pace.unitMs(record.id, initialMs),
+      failureShare: reliability.failureShare(record.id, nowMs),
+      suspect: reliability.isSuspect(record.id, nowMs)
+    }))
+  }
+
+  protected _spendRetry (request: GatewayRequest): boolean {
+    const { budget, hosts, clock, log } = this._parts
+    const spent = budget.spend(request.service.name, hosts(), clock.nowMs())
+    if (!spent) log.request(request.id, 'retry budget spent', { service: request.service.name, hosts: hosts() })
+    return spent
+  }
+
+  protected _note (endpoint: EndpointRecord, outcome: CallOutcome): void {
+    const { reliability, clock, log } = this._parts
+    const nowMs = clock.nowMs()
+    const before = reliability.isSuspect(endpoint.id, nowMs)
+    reliability.note(endpoint.id, outcome, nowMs)
+    const after = reliability.isSuspect(endpoint.id, nowMs)
+    if (before !== after) log.belief(after ? 'endpoint suspected' : 'endpoint answers again', { endpoint: endpoint.id, outcome })
+  }
+
+  protected _trackLoad (endpoint: EndpointRecord, tokens: number, signal: AbortSignal): void {
+    const { load, loadChanged } = this._parts
+    load.add(endpoint.id, tokens, signal)
+    loadChanged()
+    signal.addEventListener('abort', loadChanged, { once: true })
+  }
+
+  protected _ended (request: GatewayRequest, mayHaveRun: boolean): RequestError {
+    if (request.signal.reason === RequestEnd.CallerGone) return new RequestError(ErrorKind.CallerGone, 'the caller has gone')
+    return mayHaveRun
+      ? new RequestError(ErrorKind.Deadline, 'no answer in time')
+      : new RequestError(ErrorKind.Overloaded, 'no endpoint had room in time', { retryAfterMs: 0 })
+  }
+
+  protected _sinceMs ({ arrivedMs }: GatewayRequest): number {
+    return Math.round(this._parts.clock.nowMs() - arrivedMs)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillForwardingParts.ts
@@ -0,0 +1,28 @@
+import type { Clock, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, Random } from '@jaymill/core'
+import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
+import type { FleetState } from '../fleet/JaymillFleetState.js'
+import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
+import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
+import type { EngineControl } from '../ports/JaymillEngineControl.js'
+import type { WireDialect } from '../ports/JaymillWireDialect.js'
+
+/** What serving a request needs of its host. */
+export interface ForwardingParts {
+  readonly zone: string
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: GatewayLog
+  readonly metrics: GatewayMetrics
+  readonly dialect: WireDialect
+  readonly calls: EndpointCalls
+  readonly engines: EngineControl
+  readonly state: FleetState
+  readonly load: EndpointLoad
+  readonly reliability: EndpointReliability
+  readonly pace: EndpointPace
+  readonly budget: FleetRetryBudget
+  /** Hosts that share the retry budget. */
+  readonly hosts: () => number
+  /** Tells other hosts that this host's work has changed. */
+  readonly loadChanged: () => void
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -0,0 +1,308 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import {
+  CallOutcome, EngineStage, ErrorKind, isIdempotent, RanState, RequestError, TokenQueueRanking, type EndpointRanking, type EndpointRecord
+} from '@jaymill/core'
+import { BUSY_RETRY_MS } from '../callers/constants.js'
+import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
+import { relay } from '../callers/JaymillReply.js'
+import { WHOLE_ANSWER_BYTES } from '../endpoints/constants.js'
+import { readWhole } from '../endpoints/JaymillEndpointCalls.js'
+import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
+import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
+import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
+import type { Reservation } from '../ports/JaymillEngineControl.js'
+import type { KvSource } from '../ports/JaymillWireDialect.js'
+import {
+  DECODE_TOKEN_MS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
+  RESERVE_RETRY_MS, RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, STREAM_SILENCE_MS
+} from './constants.js'
+import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
+import { Forwarder } from './JaymillForwarder.js'
+import type { ForwardingParts } from './JaymillForwardingParts.js'
+import { RelayEnd, StreamRelay } from './JaymillStreamRelay.js'
+
+/** KV cache of a prompt and the engine that holds it. */
+interface HeldPrompt extends KvSource {
+  readonly endpoint: EndpointRecord
+}
+
+/** Progress of one request through the pools. */
+interface PromptProgress {
+  readonly relay: StreamRelay
+  /** Calls that may have run the request. */
+  runs: number
+  /** Rounds through reservation and prefill. */
+  rounds: number
+  /** Calls that only read the prompt. */
+  prefills: number
+  /** Engines that gave no usable answer to this request. */
+  readonly avoided: Set<string>
+}
+
+/**
+ * Serves generation requests on split pools: reserves room at a decode engine, has a prefill engine read the prompt, then
+ * runs the request where room is reserved. What was held for a request is given back however the request ends.
+ */
+export class PromptForwarder extends Forwarder {
+  private readonly _ranking: EndpointRanking
+
+  /**
+   * @param parts - State of the host.
+   * @param ranking - Order of engines of either stage.
+   */
+  constructor (parts: ForwardingParts, ranking: EndpointRanking = new TokenQueueRanking()) {
+    super(parts)
+    this._ranking = ranking
+  }
+
+  /** {@inheritDoc Forwarder.forward} */
+  async forward (request: GatewayRequest): Promise<void> {
+    this._parts.budget.counted(request.service.name, this._parts.clock.nowMs())
+    await this._round(request, { relay: new StreamRelay(request), runs: 0, rounds: 0, prefills: 0, avoided: new Set() })
+  }
+
+  private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
+    progress.rounds += 1
+    const held = new AbortController()
+    try {
+      const reservation = await this._reserve(request, progress)
+      this._trackLoad(reservation.endpoint, tokensOf(request), held.signal)
+      const again = await this._run(request, progress, reservation)
+      if (!again) return
+    } finally {
+      held.abort()
+    }
+    if (request.res.writableEnded) return
+    if (!this._mayGoOn(request, progress)) throw this._givenUp(request, progress)
+    await this._round(request, progress)
+  }
+
+  private _mayGoOn (request: GatewayRequest, { runs, rounds }: PromptProgress): boolean {
+    if (request.signal.aborted || this._leftMs(request) < MIN_CALL_MS) return false
+    if (runs > 0 && !isIdempotent(request.route)) return false
+    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._spendRetry(request)
+  }
+
+  private async _reserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation> {
+    const untilMs = this._parts.clock.nowMs() + this._leftMs(request) * RESERVE_WAIT_SHARE
+    const reservation = await this._reserveBefore(request, progress, untilMs)
+    if (reservation !== undefined) return reservation
+    if (request.signal.aborted || progress.relay.started) throw this._givenUp(request, progress)
+    throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: BUSY_RETRY_MS })
+  }
+
+  private async _reserveBefore (request: GatewayRequest, progress: PromptProgress, untilMs: number): Promise<Reservation | undefined> {
+    const ranked = this._ranked(request, EngineStage.Decode, progress)
+    const reservation = await this._firstReservation(request, ranked)
+    if (reservation !== undefined || request.signal.aborted) return reservation
+    if (this._parts.clock.nowMs() + RESERVE_RETRY_MS > untilMs) return undefined
+    await sleep(RESERVE_RETRY_MS, undefined, { signal: request.signal }).catch(() => {})
+    return await this._reserveBefore(request, progress, untilMs)
+  }
+
+  private async _firstReservation (request: GatewayRequest, ranked: readonly EndpointRecord[]): Promise<Reservation | undefined> {
+    const [endpoint, ...rest] = ranked
+    if (endpoint === undefined || request.signal.aborted) return undefined
+    return await this._reserveAt(request, endpoint) ?? await this._firstReservation(request, rest)
+  }
+
+  private async _reserveAt (request: GatewayRequest, endpoint: EndpointRecord): Promise<Reservation | undefined> {
+    const { engines, log, metrics, load, clock } = this._parts
+    const limit = new TimeLimit(request.signal, RESERVE_TIMEOUT_MS)
+    const startMs = clock.nowMs()
+    const work = load.at(endpoint.id)
+    const tokens = tokensOf(request)
+    const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + this._prefillMs(request))
+    try {
+      const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
+      this._note(endpoint, CallOutcome.Success)
+      const outcome = reservation === undefined ? 'full' : 'reserved'
+      metrics.called('reserve', outcome)
+      log.request(request.id, 'reservation', {
+        endpoint: endpoint.id, outcome, tokens, outstanding: work.requests, outstandingTokens: work.tokens,
+        ms: Math.round(clock.nowMs() - startMs), directory: this._parts.state.directory.revision
+      })
+      return reservation
+    } catch (err) {
+      if (!(err instanceof ExchangeError)) throw err
+      if (!request.signal.aborted) this._note(endpoint, CallOutcome.Unreachable)
+      metrics.called('reserve', err.failure)
+      log.request(request.id, 'reservation', { endpoint: endpoint.id, outcome: err.failure, reason: err.message })
+      return undefined
+    } finally {
+      limit.done()
+    }
+  }
+
+  /** @returns Whether another round is needed. */
+  private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
+    const prompt = await this._prefill(request, progress, new Set())
+    if (request.signal.aborted) {
+      this._giveBack(request, reservation, prompt)
+      throw this._givenUp(request, progress)
+    }
+    const answer = await this._openDecode(request, progress, reservation, prompt)
+    if (answer === undefined) return true
+    return await this._pass(request, progress, reservation.endpoint, answer)
+  }
+
+  private async _prefill (request: GatewayRequest, progress: PromptProgress, tried: ReadonlySet<string>): Promise<HeldPrompt | undefined> {
+    const endpoint = this._ranked(request, EngineStage.Prefill, progress).find(({ id }) => !tried.has(id))
+    if (endpoint === undefined || request.signal.aborted) return undefined
+    if (progress.prefills > 0 && !this._spendRetry(request)) return undefined
+    progress.prefills += 1
+    return await this._prefillAt(request, endpoint) ?? await this._prefill(request, progress, new Set([...tried, endpoint.id]))
+  }
+
+  private async _prefillAt (request: GatewayRequest, endpoint: EndpointRecord): Promise<HeldPrompt | undefined> {
+    const { calls, clock, load, pace, log, metrics } = this._parts
+    const work = load.at(endpoint.id)
+    const tokens = promptTokensOf(request)
+    const unitMs = pace.unitMs(endpoint.id, PREFILL_INITIAL_TOKEN_MS)
+    const expectedMs = (work.tokens + tokens) * unitMs
+    const busy = new AbortController()
+    this._trackLoad(endpoint, tokens, busy.signal)
+    const limit = new TimeLimit(request.signal, expectedMs * PREFILL_PATIENCE + PREFILL_PATIENCE_MS)
+    const startMs = clock.nowMs()
+    const call = { ...this._call(request, endpoint, { stage: EngineStage.Prefill }), ownConnection: false }
+    const held = await calls.collect(call, WHOLE_ANSWER_BYTES, limit.signal).then(
+      ({ status, body }) => status === 200 ? this._held(endpoint, body) : undefined,
+      (err: ExchangeError) => {
+        if (!request.signal.aborted) this._note(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
+        return undefined
+      }
+    )
+    limit.done()
+    busy.abort()
+    const ms = clock.nowMs() - startMs
+    if (held !== undefined) pace.note(endpoint.id, work.tokens + tokens, ms)
+    const outcome = held === undefined ? 'failed' : 'read'
+    metrics.called('prefill', outcome)
+    log.request(request.id, 'prefill', {
+      endpoint: endpoint.id, outcome, tokens, outstandingTokens: work.tokens, expectedMs: Math.round(expectedMs), ms: Math.round(ms)
+    })
+    return held
+  }
+
+  private _held (endpoint: EndpointRecord, body: Buffer): HeldPrompt | undefined {
+    const result = this._parts.engines.prefillResult(body)
+    if (result === undefined) return undefined
+    this._note(endpoint, CallOutcome.Success)
+    return { endpoint, address: endpoint.address, handle: result.handle }
+  }
+
+  private async _openDecode (
+    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: HeldPrompt | undefined
+  ): Promise<OpenAnswer | undefined> {
+    const { calls, dialect, log, clock } = this._parts
+    const { endpoint } = reservation
+    const resumed = progress.relay.lastEventId === undefined ? {} : { lastEventId: progress.relay.lastEventId }
+    const intent = { reservationId: reservation.id, ...resumed, ...(prompt === undefined ? {} : { kvSource: prompt }) }
+    const limit = new TimeLimit(request.signal, isIdempotent(request.route) ? STREAM_SILENCE_MS : this._leftMs(request))
+    const startMs = clock.nowMs()
+    const done = (verdict: Verdict, reason?: string): void => {
+      limit.lift()
+      log.request(request.id, 'decode', { endpoint: endpoint.id, verdict, reason, afterEvent: progress.relay.lastEventId, ms: Math.round(clock.nowMs() - startMs) })
+    }
+    try {
+      const answer = await calls.open(this._call(request, endpoint, intent), limit.signal)
+      const verdict = verdictOf(dialect, request.id, answer.status, answer.headers)
+      done(verdict)
+      return await this._judge(request, progress, reservation, prompt, answer, verdict)
+    } catch (err) {
+      limit.done()
+      if (!(err instanceof ExchangeError)) throw err
+      const notRun = err.ran === RanState.No
+      done(notRun ? Verdict.NotRun : Verdict.Unusable, err.message)
+      this._giveBack(request, reservation, prompt)
+      if (!request.signal.aborted) this._note(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
+      if (!notRun) progress.runs += 1
+      progress.avoided.add(endpoint.id)
+      return undefined
+    }
+  }
+
+  private async _judge (
+    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: HeldPrompt | undefined, answer: OpenAnswer, verdict: Verdict
+  ): Promise<OpenAnswer | undefined> {
+    const { endpoint } = reservation
+    if (verdict === Verdict.NotRun) {
+      answer.body.destroy()
+      this._giveBack(request, reservation, prompt)
+      return undefined
+    }
+    progress.runs += 1
+    if (verdict === Verdict.Success) {
+      this._note(endpoint, CallOutcome.Success)
+      return answer
+    }
+    this._note(endpoint, CallOutcome.Failure)
+    progress.avoided.add(endpoint.id)
+    if (verdict === Verdict.Failed && !progress.relay.started && progress.runs >= request.route.maxAttempts) await this._relayFailure(request, answer)
+    answer.body.destroy()
+    return undefined
+  }
+
+  private async _relayFailure (request: GatewayRequest, { status, headers, body }: OpenAnswer): Promise<void> {
+    const whole = await readWhole(body, WHOLE_ANSWER_BYTES).catch(() => undefined)
+    if (whole !== undefined) relay(request.res, { status, headers, body: whole })
+  }
+
+  /** @returns Whether the stream has to go on elsewhere. */
+  private async _pass (request: GatewayRequest, progress: PromptProgress, endpoint: EndpointRecord, answer: OpenAnswer): Promise<boolean> {
+    const { log, metrics } = this._parts
+    const silenceMs = request.route.resumable ? STREAM_SILENCE_MS : undefined
+    const end = await progress.relay.pass(answer, silenceMs, () => {
+      metrics.firstEvent(this._sinceMs(request))
+      log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._sinceMs(request) })
+    })
+    log.request(request.id, 'stream ended', {
+      endpoint: endpoint.id, end, bytes: progress.relay.bytes, lastEvent: progress.relay.lastEventId, route: request.route.name,
+      ms: this._sinceMs(request), config: request.version
+    })
+    if (end === RelayEnd.Complete) metrics.answered(request.route.kind, answer.status, this._sinceMs(request))
+    if (end === RelayEnd.Broken) {
+      this._note(endpoint, CallOutcome.Failure)
+      progress.avoided.add(endpoint.id)
+      return true
+    }
+    if (end === RelayEnd.Ended) request.res.destroy()
+    return false
+  }
+
+  private _giveBack (request: GatewayRequest, reservation: Reservation, prompt: HeldPrompt | undefined): void {
+    const { engines, log } = this._parts
+    const failed = (what: string) => (err: Error) => log.request(request.id, 'not given back', { what, reason: err.message })
+    engines.release(reservation).catch(failed('reservation'))
+    if (prompt !== undefined) engines.free(prompt.endpoint, prompt.handle).catch(failed('prompt'))
+  }
+
+  private _givenUp (request: GatewayRequest, { runs, relay: passed }: PromptProgress): RequestError {
+    if (request.signal.aborted) return this._ended(request, runs > 0 || passed.started)
+    if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no engine gave a whole answer', { ran: RanState.Unknown })
+    return new RequestError(ErrorKind.Overloaded, 'no engine ran the request', { retryAfterMs: BUSY_RETRY_MS })
+  }
+
+  private _ranked (request: GatewayRequest, stage: EngineStage, { avoided }: PromptProgress): readonly EndpointRecord[] {
+    const { state, zone, random } = this._parts
+    const pool = state.directory.usable(request.service.name).filter(record => (record.stage ?? EngineStage.Decode) === stage)
+    const preferred = pool.filter(({ id }) => !avoided.has(id))
+    const records = preferred.length > 0 ? preferred : pool
+    const prefill = stage === EngineStage.Prefill
+    const candidates = this._candidates(records, PREFILL_INITIAL_TOKEN_MS)
+      .map(candidate => prefill ? candidate : { ...candidate, unitMs: DECODE_TOKEN_MS })
+    return this._ranking.rank(candidates, { zone, tokens: prefill ? promptTokensOf(request) : tokensOf(request) }, random)
+  }
+
+  private _prefillMs (request: GatewayRequest): number {
+    return promptTokensOf(request) * PREFILL_INITIAL_TOKEN_MS
+  }
+}
+
+function promptTokensOf ({ facts }: GatewayRequest): number {
+  return facts.prompt?.promptTokens ?? 0
+}
+
+function tokensOf ({ facts }: GatewayRequest): number {
+  return promptTokensOf({ facts } as GatewayRequest) + (facts.prompt?.maxAnswerTokens ?? 0)
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -0,0 +1,38 @@
+/** Endpoints that are tried for one request while none of them runs it. */
+export const MAX_REFUSED_TRIES = 4
+
+/** Shortest time left in which a call is still worth sending, in milliseconds. */
+export const MIN_CALL_MS = 10
+
+/** Time for one request of a plain service before there is a measurement, in milliseconds. */
+export const PLAIN_INITIAL_MS = 50
+
+/** Time for one prompt token before there is a measurement, in milliseconds; tens of tokens a millisecond are usual. */
+export const PREFILL_INITIAL_TOKEN_MS = 0.02
+
+/** Cost of one token of KV cache in use at a decode engine, in milliseconds; orders engines by free memory. */
+export const DECODE_TOKEN_MS = 0.001
+
+/** Time for an engine to answer a reservation, in milliseconds. */
+export const RESERVE_TIMEOUT_MS = 300
+
+/** Pause before engines that had no room are asked again, in milliseconds; a few decode steps. */
+export const RESERVE_RETRY_MS = 40
+
+/** Longest wait for room at the engines, as a share of the time that is left. */
+export const RESERVE_WAIT_SHARE = 0.35
+
+/** Time of a prefill beyond which its engine counts as silent: a multiple of the expected time. */
+export const PREFILL_PATIENCE = 4
+
+/** Time that a prefill may take beyond that multiple, in milliseconds. */
+export const PREFILL_PATIENCE_MS = 600
+
+/** Silence after which the next event of a resumable stream is sought elsewhere, in milliseconds. */
+export const STREAM_SILENCE_MS = 1_500
+
+/** Rounds through reservation and prefill of one request. */
+export const MAX_PROMPT_ROUNDS = 4
+
+/** Time added to the expected time of a prefill when a reservation is made, in milliseconds. */
+export const RESERVATION_MARGIN_MS = 700
--- /dev/null
+++ b/packages/gateway/src/logging/JaymillGatewayLog.ts
@@ -0,0 +1,55 @@
+import { createLogger, format, transports, type Logger } from 'winston'
+import { BoundedOutput } from './JaymillBoundedOutput.js'
+
+/** Data of one log line. Names are fixed; values are ids, numbers and enum members, never headers or bodies. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** Structured log of a host: one JSON line for each decision and each change of what it believes. */
+export class GatewayLog {
+  private readonly _logger: Logger
+
+  /**
+   * @param level - Least severe level that is written.
+   * @param host - Id of this host, repeated on each line.
+   * @param output - Where lines go; standard output when absent.
+   */
+  constructor (level: string, host: string, output: NodeJS.WritableStream = new BoundedOutput(1)) {
+    this._logger = createLogger({
+      level,
+      defaultMeta: { host },
+      format: format.combine(format(info => Object.assign(info, { at: Date.now() }))(), format.json()),
+      transports: [new transports.Stream({ stream: output })]
+    })
+  }
+
+  /**
+   * Logs a decision about a request.
+   *
+   * @param requestId - Id of the request.
+   * @param decision - What was decided.
+   * @param fields - Inputs, their age or version, and the outcome.
+   */
+  request (requestId: string, decision: string, fields: LogFields): void {
+    this._logger.info(decision, { requestId, ...fields })
+  }
+
+  /**
+   * Logs a change of what the host believes, or of its own state.
+   *
+   * @param change - What has changed.
+   * @param fields - Inputs, their age or version, and the outcome.
+   */
+  belief (change: string, fields: LogFields): void {
+    this._logger.info(change, fields)
+  }
+
+  /**
+   * Logs something that an operator should look at.
+   *
+   * @param message - What happened.
+   * @param fields - Facts.
+   */
+  warn (message: string, fields: LogFields): void {
+    this._logger.warn(message, fields)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/logging/constants.ts
@@ -0,0 +1,2 @@
+/** Log lines that wait for a slow standard output, in bytes; a few seconds at the design rate. */
+export const LOG_BUFFER_BYTES = 262_144
--- /dev/null
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -0,0 +1,108 @@
+import { createServer } from 'node:http'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { SocketAddress } from '@jaymill/settings'
+import { listenOn } from '../callers/JaymillListener.js'
+
+/** Upper bounds of latency buckets, in seconds: from one call within a region to the longest deadline of a caller. */
+const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 4, 8, 16]
+const SECOND_MS = 1_000
+
+/** Figures that are read when metrics are collected. */
+export interface GatewayGauges {
+  readonly running: () => number
+  readonly ready: () => boolean
+  readonly configVersion: () => number
+  readonly hosts: () => number
+}
+
+/** Counters and histograms of one host. Labels are kinds and outcomes, never ids. */
+export class GatewayMetrics {
+  private readonly _registry = new Registry()
+  private readonly _answers: Counter
+  private readonly _refusals: Counter
+  private readonly _calls: Counter
+  private readonly _latency: Histogram
+  private readonly _firstEvent: Histogram
+
+  constructor () {
+    const registers = [this._registry]
+    this._answers = new Counter({ name: 'jaymill_answers_total', help: 'Answers of endpoints passed on.', labelNames: ['kind', 'status'], registers })
+    this._refusals = new Counter({ name: 'jaymill_refusals_total', help: 'Requests answered by the host itself.', labelNames: ['kind'], registers })
+    this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
+    this._latency = new Histogram({
+      name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
+    })
+    this._firstEvent = new Histogram({
+      name: 'jaymill_first_event_seconds', help: 'Time to the first event of a stream.', buckets: LATENCY_BUCKETS_S, registers
+    })
+  }
+
+  /**
+   * Adds gauges that are read at each collection.
+   *
+   * @param gauges - Where the figures come from.
+   */
+  watch (gauges: GatewayGauges): void {
+    this._gauge('jaymill_requests_running', 'Requests that run on this host.', gauges.running)
+    this._gauge('jaymill_ready', '1 when the host takes new work.', () => Number(gauges.ready()))
+    this._gauge('jaymill_config_version', 'Version of the configuration in force.', gauges.configVersion)
+    this._gauge('jaymill_hosts', 'Hosts heard lately, this one included.', gauges.hosts)
+  }
+
+  /**
+   * @param kind - Kind of the route.
+   * @param status - Status of the answer.
+   * @param ms - Time since the request arrived, in milliseconds.
+   */
+  answered (kind: string, status: number, ms: number): void {
+    this._answers.inc({ kind, status })
+    this._latency.observe({ kind }, ms / SECOND_MS)
+  }
+
+  /**
+   * @param ms - Time from the request to its first event, in milliseconds.
+   */
+  firstEvent (ms: number): void {
+    this._firstEvent.observe(ms / SECOND_MS)
+  }
+
+  /**
+   * @param kind - Kind of the failure.
+   */
+  refused (kind: string): void {
+    this._refusals.inc({ kind })
+  }
+
+  /**
+   * @param call - What was asked of an endpoint.
+   * @param outcome - How it ended.
+   */
+  called (call: string, outcome: string): void {
+    this._calls.inc({ call, outcome })
+  }
+
+  /**
+   * Serves the metrics as text.
+   *
+   * @param listen - Address.
+   * @param path - Path.
+   * @param signal - Closes the listener.
+   */
+  async start (listen: SocketAddress, path: string, signal: AbortSignal): Promise<void> {
+    const server = createServer((req, res) => {
+      if (req.url !== path) {
+        res.writeHead(404).end()
+        return
+      }
+      this._registry.metrics().then(
+        text => res.writeHead(200, { 'Content-Type': this._registry.contentType }).end(text),
+        () => res.writeHead(500).end()
+      )
+    })
+    await listenOn(server, listen, signal)
+  }
+
+  private _gauge (name: string, help: string, value: () => number): void {
+    this._registry.registerMetric(new Gauge({ name, help, registers: [], collect () { this.set(value()) } }))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/JaymillBeaconMessage.ts
@@ -0,0 +1,41 @@
+import { z } from 'zod'
+
+const text = z.string().max(128)
+const count = z.number()
+
+/** Schema of a beacon; short names keep it in one datagram. */
+export const beaconSchema = z.object({
+  /** IP number of the sender. */
+  from: text,
+  /** Start of the sender's process, in milliseconds since the Unix epoch. */
+  born: count,
+  /** Rises with each beacon of one start. */
+  seq: count,
+  /** Version of the configuration in force there. */
+  config: count,
+  /** Revision of the endpoints known there. */
+  revision: count,
+  /** Own work: endpoint id, requests, tokens. */
+  load: z.array(z.tuple([text, count, count])),
+  /** IP numbers of hosts heard of lately. */
+  hosts: z.array(text),
+  /** Whether an answer is wanted at once. */
+  ask: z.boolean(),
+  /** Whether the sender is about to stop. */
+  leaving: z.boolean()
+})
+
+/** What hosts tell each other by datagram. */
+export type Beacon = z.output<typeof beaconSchema>
+
+/**
+ * @param bytes - A datagram.
+ * @returns The message, or `undefined` when it is none.
+ */
+export function parseBeacon (bytes: Buffer): Beacon | undefined {
+  try {
+    return beaconSchema.safeParse(JSON.parse(bytes.toString('utf8'))).data
+  } catch {
+    return undefined
+  }
+}
--- a/packages/settings/src/JaymillFields.ts
+++ b/packages/settings/src/JaymillFields.ts
@@ -5,6 +5,7 @@
 /** Unit of a number, as the reference shows it. */
 export enum Unit {
   Milliseconds = 'ms',
+  Seconds = 's',
   Bytes = 'bytes',
   BytesPerSecond = 'bytes/s',
   PerSecond = '1/s',
--- a/packages/settings/src/JaymillParse.ts
+++ b/packages/settings/src/JaymillParse.ts
@@ -3,6 +3,7 @@
 import { JsonDocument, type Finding } from './JaymillDocument.js'
 import { checkFleet, checkHostList, checkHostSettings } from './JaymillFleetChecks.js'
 import { fleetConfigSchema, hostListSchema } from './JaymillFleetSchema.js'
+import { gatewaySettingsSchema, type GatewaySettings } from './JaymillGatewaySettings.js'
 import { hostSettingsSchema, type HostSettings } from './JaymillHostSettings.js'
 import { checkSchema } from './JaymillSchemaCheck.js'
 import { SettingsError, type Problem } from './JaymillSettingsError.js'
@@ -19,6 +20,18 @@
   return parse(hostSettingsSchema, checkHostSettings, text, fileName)
 }
 
+/**
+ * Reads the settings of one gateway host.
+ *
+ * @param text - JSON with comments.
+ * @param fileName - Name shown in problems.
+ * @returns The settings with defaults.
+ * @throws SettingsError with every problem.
+ */
+export function parseGatewaySettings (text: string, fileName: string): GatewaySettings {
+  return parse(gatewaySettingsSchema, () => [], text, fileName)
+}
+
 /**
  * Reads a fleet configuration.
  *
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,5 +1,6 @@
 export * from './JaymillDocumentKind.js'
 export * from './JaymillFieldReference.js'
+export * from './JaymillGatewaySettings.js'
 export { fleetConfigSchema, hostListSchema } from './JaymillFleetSchema.js'
 export * from './JaymillHostSettings.js'
 export * from './JaymillParse.js'
