Change the stage of an engine when prompts and answers need another proportion

Change: StageBalance compares the use of both stages, the host with the lowest address orders; an engine that refuses a run is avoided; a request waits while prefill engines are behind; pace is a line with a fixed part.

--- a/packages/core/src/gateway/JaymillStageBalance.ts
+++ b/packages/core/src/gateway/JaymillStageBalance.ts
@@ -1,4 +1,4 @@
-import { BALANCE_GAIN, BALANCE_MIN_USE, BALANCE_PAUSE_MS, BALANCE_SMOOTH_MS, BALANCE_WARM_MS } from './constants.js'
+import { BALANCE_GAIN, BALANCE_MIN_USE, BALANCE_PAUSE_MS, BALANCE_SETTLE_MS, BALANCE_SMOOTH_MS, BALANCE_WARM_MS, PREFILL_USE_WEIGHT } from './constants.js'
 import { EngineStage } from './JaymillEndpointRecord.js'
 
 /** One engine of a split pool, as the balance sees it. */
@@ -60,10 +60,11 @@
    * @returns The change to be made now, or `undefined`.
    */
   due (use: PoolUse, nowMs: number): StageChange | undefined {
-    const warm = this._sinceMs !== undefined && nowMs - this._sinceMs >= BALANCE_WARM_MS
-    if (!warm || nowMs - this._changedMs < BALANCE_PAUSE_MS) return undefined
+    const warmMs = this._sinceMs === undefined ? 0 : nowMs - this._sinceMs
+    if (warmMs < BALANCE_WARM_MS || nowMs - this._changedMs < BALANCE_PAUSE_MS) return undefined
     const now = this._largerUse(use.engines, use.kvTokens)
     const best = use.engines
+      .filter(({ stage }) => stage === EngineStage.Prefill || warmMs >= BALANCE_SETTLE_MS)
       .map(engine => ({ engine, use: this._largerUse(moved(use.engines, engine), use.kvTokens) }))
       .sort((a, b) => a.use - b.use || b.engine.tokenMs - a.engine.tokenMs)[0]
     if (best === undefined || now < BALANCE_MIN_USE || best.use > now * BALANCE_GAIN) return undefined
@@ -84,7 +85,7 @@
     const decode = engines.filter(({ stage }) => stage === EngineStage.Decode)
     const rate = engines.filter(({ stage }) => stage === EngineStage.Prefill).reduce((sum, { tokenMs }) => sum + 1 / tokenMs, 0)
     if (decode.length === 0 || rate === 0) return Number.POSITIVE_INFINITY
-    return Math.max(this._kvTokens / (decode.length * kvTokens), this._promptRate / rate)
+    return Math.max(this._kvTokens / (decode.length * kvTokens), PREFILL_USE_WEIGHT * this._promptRate / rate)
   }
 }
 
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -22,8 +22,14 @@
 /** Random part of each cost, in milliseconds; keeps hosts that know the same from choosing the same. */
 export const RANKING_JITTER_MS = 1
 
-/** Weight of the newest measurement of an endpoint's pace. */
-export const PACE_WEIGHT = 0.2
+/** Share of an earlier measurement's weight that each newer one leaves it; some twenty measurements count. */
+export const PACE_KEPT = 0.95
+
+/** Spread of the measured work, relative to its mean, from which a fixed part can be told from the part for each unit. */
+export const PACE_MIN_SPREAD = 0.15
+
+/** Weight of the prefill stage's use: a queue that is served one by one grows long before its server is fully used. */
+export const PREFILL_USE_WEIGHT = 1.6
 
 /** Time before a caller gives up at which its request gets room before others, in milliseconds: a prefill and a share of an answer. */
 export const LAST_CALL_MS = 900
@@ -42,3 +48,9 @@
 
 /** Use of the fuller stage below which nothing is changed. */
 export const BALANCE_MIN_USE = 0.3
+
+/** Time over which a host averages the prompts of its callers, in milliseconds. */
+export const DEMAND_SMOOTH_MS = 2_000
+
+/** Time with traffic before an engine may be taken from decode, in milliseconds: the use of KV cache shows only after some answers. */
+export const BALANCE_SETTLE_MS = 12_000
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import {
-  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, Random, type DirectoryNote
+  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, type DirectoryNote
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
@@ -14,6 +14,7 @@
 import type { ForwardingParts } from './forwarding/JaymillForwardingParts.js'
 import { PlainForwarder } from './forwarding/JaymillPlainForwarder.js'
 import { PromptForwarder } from './forwarding/JaymillPromptForwarder.js'
+import { StageDriver } from './forwarding/JaymillStageDriver.js'
 import { StreamForwarder } from './forwarding/JaymillStreamForwarder.js'
 import type { GatewayLog } from './logging/JaymillGatewayLog.js'
 import { GatewayMetrics } from './metrics/JaymillGatewayMetrics.js'
@@ -54,6 +55,7 @@
   private readonly _beacons: HostBeacons
   private readonly _parts: ForwardingParts
   private readonly _ingress: Ingress
+  private readonly _stages: StageDriver
   private readonly _metrics = new GatewayMetrics()
   private _phase = Phase.Starting
   private _adoptedVersion = 0
@@ -67,11 +69,14 @@
     this._adapters = adapters
     const { clock, random, log, source } = adapters
     const load = new EndpointLoad()
+    const demand = new PromptDemand()
     this._state = new FleetState(clock, log)
     this._follower = new FleetFollower({ source, state: this._state, clock, random, log })
     const seeds = settings.seeds.map(({ address }) => address)
-    this._beacons = new HostBeacons({ address: settings.host.address, listen: settings.listen.beacon, seeds, state: this._state, load, clock, log })
-    this._parts = this._forwardingParts(load)
+    const { host, listen } = settings
+    this._beacons = new HostBeacons({ address: host.address, listen: listen.beacon, seeds, state: this._state, load, demand, clock, log })
+    this._parts = this._forwardingParts(load, demand)
+    this._stages = new StageDriver({ ...this._parts, hostId: host.id, leads: () => this._beacons.leads })
     this._ingress = new Ingress(this._parts, this._chooser())
   }
 
@@ -92,6 +97,7 @@
       this._beacons.start(signal),
       this._metrics.start(listen.metrics, metricsPath, signal)
     ])
+    this._stages.start(signal)
     this._watchMetrics()
   }
 
@@ -116,7 +122,7 @@
     this._abort.abort()
   }
 
-  private _forwardingParts (load: EndpointLoad): ForwardingParts {
+  private _forwardingParts (load: EndpointLoad, demand: PromptDemand): ForwardingParts {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     return {
@@ -130,6 +136,7 @@
       engines,
       state: this._state,
       load,
+      demand,
       reliability: new EndpointReliability(),
       pace: new EndpointPace(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * SECOND_MS }),
@@ -171,6 +178,7 @@
   }
 
   private _directoryChanged ({ event, record }: DirectoryNote): void {
+    if (event === DirectoryEvent.Changed && record.stage !== undefined) this._stages.stageChanged(record.service)
     if (event !== DirectoryEvent.Removed) return
     this._parts.calls.forget(record)
     this._parts.reliability.forget(record.id)
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,8 +1,9 @@
-import { CallOutcome, type Candidate, type EndpointRecord, ErrorKind, isIdempotent, RequestError } from '@jaymill/core'
+import { CallOutcome, type Candidate, type EndpointRecord, ErrorKind, isIdempotent, type Outstanding, RequestError } from '@jaymill/core'
 import { RequestEnd, type GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { forwardedHeaders } from '../callers/JaymillReply.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
 import type { CallIntent } from '../ports/JaymillWireDialect.js'
+import { PLAIN_INITIAL_MS } from './constants.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
 
 /** Serves requests of one kind. */
@@ -39,17 +40,26 @@
     }
   }
 
+  /** Expected time at a plain service: a round for each full set of slots before it, and crowding within a round. */
+  protected _sharedSlotsMs ({ id, slots }: EndpointRecord, { requests }: Outstanding): number {
+    const unitMs = this._parts.pace.unitMs(id, PLAIN_INITIAL_MS)
+    return unitMs * (1 + Math.floor(requests / Math.max(1, slots)) + requests / Math.max(1, slots))
+  }
+
   protected _leftMs ({ deadlineMs }: GatewayRequest): number {
     return Math.max(0, Math.floor(deadlineMs - this._parts.clock.nowMs()))
   }
 
-  protected _candidates (records: readonly EndpointRecord[], initialMs: number): readonly Candidate[] {
-    const { load, reliability, pace, clock } = this._parts
+  /** Expected time of a request at an endpoint with other work. */
+  protected abstract _expectedMs (record: EndpointRecord, work: Outstanding, tokens: number): number
+
+  protected _candidates (records: readonly EndpointRecord[], tokens: number): readonly Candidate[] {
+    const { load, reliability, clock } = this._parts
     const nowMs = clock.nowMs()
     return records.map(record => ({
       record,
       work: load.at(record.id),
-      unitMs: pace.unitMs(record.id, initialMs),
+      expectedMs: this._expectedMs(record, load.at(record.id), tokens),
       failureShare: reliability.failureShare(record.id, nowMs),
       suspect: reliability.isSuspect(record.id, nowMs)
     }))
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, SharedSlotsRanking, type EndpointRanking, type EndpointRecord
+  CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, ExpectedTimeRanking, type EndpointRanking, type EndpointRecord, type Outstanding
 } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -7,7 +7,7 @@
 import { WHOLE_ANSWER_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { WholeAnswer } from '../endpoints/JaymillOpenAnswer.js'
-import { MAX_REFUSED_TRIES, MIN_CALL_MS, PLAIN_INITIAL_MS } from './constants.js'
+import { MAX_REFUSED_TRIES, MIN_CALL_MS } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
@@ -35,7 +35,7 @@
    * @param parts - State of the host.
    * @param ranking - Order of endpoints.
    */
-  constructor (parts: ForwardingParts, ranking: EndpointRanking = new SharedSlotsRanking()) {
+  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
     super(parts)
     this._ranking = ranking
   }
@@ -57,6 +57,10 @@
     else await this._next(request, { tried: [...progress.tried, attempt] })
   }
 
+  protected override _expectedMs (record: EndpointRecord, work: Outstanding): number {
+    return this._sharedSlotsMs(record, work)
+  }
+
   private _mayTry (request: GatewayRequest, { tried }: Progress): boolean {
     if (request.signal.aborted || this._leftMs(request) < MIN_CALL_MS) return false
     const runs = tried.filter(({ verdict }) => verdict !== Verdict.NotRun).length
@@ -68,7 +72,7 @@
   private _choose (request: GatewayRequest, { tried }: Progress): EndpointRecord | undefined {
     const { state, zone, random } = this._parts
     const untried = state.directory.usable(request.service.name).filter(({ id }) => tried.every(({ endpoint }) => endpoint.id !== id))
-    return this._ranking.rank(this._candidates(untried, PLAIN_INITIAL_MS), { zone, tokens: 0 }, random)[0]
+    return this._ranking.rank(this._candidates(untried, 0), zone, random)[0]
   }
 
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { tried }: Progress): Promise<Attempt> {
@@ -84,8 +88,15 @@
     if (attempt.verdict === Verdict.Success) pace.note(endpoint.id, 1 + Math.floor(work.requests / Math.max(1, endpoint.slots)), ms)
     metrics.called('request', attempt.verdict)
     log.request(request.id, 'attempt ended', {
-      endpoint: endpoint.id, service: request.service.name, attempt: tried.length + 1, verdict: attempt.verdict, status: attempt.answer?.status,
-      ms: Math.round(ms), outstanding: work.requests, directory: state.directory.revision, config: request.version
+      endpoint: endpoint.id,
+      service: request.service.name,
+      attempt: tried.length + 1,
+      verdict: attempt.verdict,
+      status: attempt.answer?.status,
+      ms: Math.round(ms),
+      outstanding: work.requests,
+      directory: state.directory.revision,
+      config: request.version
     })
     return attempt
   }
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  CallOutcome, EngineStage, ErrorKind, isIdempotent, RanState, RequestError, TokenQueueRanking, type EndpointRanking, type EndpointRecord
+  CallOutcome, EngineStage, ErrorKind, isIdempotent, RanState, RequestError, ExpectedTimeRanking, type EndpointRanking, type EndpointRecord, type Outstanding
 } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -12,7 +12,7 @@
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import type { KvSource } from '../ports/JaymillWireDialect.js'
 import {
-  DECODE_TOKEN_MS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
+  DECODE_TOKEN_MS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
   FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
@@ -21,6 +21,8 @@
 import { RoomQueue } from './JaymillRoomQueue.js'
 import { RelayEnd, StreamRelay } from './JaymillStreamRelay.js'
 
+const STATUS_OK = 200
+
 /** KV cache of a prompt and the engine that holds it. */
 interface HeldPrompt extends KvSource {
   readonly endpoint: EndpointRecord
@@ -52,14 +54,16 @@
    * @param parts - State of the host.
    * @param ranking - Order of engines of either stage.
    */
-  constructor (parts: ForwardingParts, ranking: EndpointRanking = new TokenQueueRanking()) {
+  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
     super(parts)
     this._ranking = ranking
   }
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
-    this._parts.budget.counted(request.service.name, this._parts.clock.nowMs())
+    const { budget, demand, clock } = this._parts
+    budget.counted(request.service.name, clock.nowMs())
+    demand.add(request.service.name, promptTokensOf(request), clock.nowMs())
     await this._round(request, { relay: new StreamRelay(request), runs: 0, rounds: 0, prefills: 0, avoided: new Set() })
   }
 
@@ -96,7 +100,7 @@
       patientUntilMs: Math.max(arrivedMs + patientMs, this._parts.clock.nowMs()),
       tokens: tokensOf(request),
       signal,
-      reserve: async () => await this._firstReservation(request, this._withRoom(request, progress))
+      reserve: async () => this._prefillMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._firstReservation(request, this._withRoom(request, progress))
     })
     if (reservation !== undefined && !signal.aborted) return reservation
     if (reservation !== undefined) this._giveBack(request, reservation, undefined)
@@ -105,8 +109,11 @@
   }
 
   private _queue (service: string): RoomQueue {
-    const queue = this._queues.get(service) ?? new RoomQueue(this._parts.clock)
+    const known = this._queues.get(service)
+    if (known !== undefined) return known
+    const queue = new RoomQueue(this._parts.clock)
     this._queues.set(service, queue)
+    this._parts.demand.watchWaiting(service, () => queue.tokens)
     return queue
   }
 
@@ -134,15 +141,20 @@
     this._askedMs.set(endpoint.id, startMs)
     const work = load.at(endpoint.id)
     const tokens = tokensOf(request)
-    const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + this._prefillMs(request))
+    const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_PATIENCE * this._prefillMs(request))
     try {
       const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
       this._note(endpoint, CallOutcome.Success)
       const outcome = reservation === undefined ? 'full' : 'reserved'
       metrics.called('reserve', outcome)
       log.request(request.id, 'reservation', {
-        endpoint: endpoint.id, outcome, tokens, outstanding: work.requests, outstandingTokens: work.tokens,
-        ms: Math.round(clock.nowMs() - startMs), directory: this._parts.state.directory.revision
+        endpoint: endpoint.id,
+        outcome,
+        tokens,
+        outstanding: work.requests,
+        outstandingTokens: work.tokens,
+        ms: Math.round(clock.nowMs() - startMs),
+        directory: this._parts.state.directory.revision
       })
       return reservation
     } catch (err) {
@@ -180,15 +192,14 @@
     const { calls, clock, load, pace, log, metrics } = this._parts
     const work = load.at(endpoint.id)
     const tokens = promptTokensOf(request)
-    const unitMs = pace.unitMs(endpoint.id, PREFILL_INITIAL_TOKEN_MS)
-    const expectedMs = (work.tokens + tokens) * unitMs
+    const expectedMs = this._expectedMs(endpoint, work, tokens)
     const busy = new AbortController()
     this._trackLoad(endpoint, tokens, busy.signal)
     const limit = new TimeLimit(request.signal, expectedMs * PREFILL_PATIENCE + PREFILL_PATIENCE_MS)
     const startMs = clock.nowMs()
     const call = { ...this._call(request, endpoint, { stage: EngineStage.Prefill }), ownConnection: false }
     const held = await calls.collect(call, WHOLE_ANSWER_BYTES, limit.signal).then(
-      ({ status, body }) => status === 200 ? this._held(endpoint, body) : undefined,
+      ({ status, body }) => this._held(endpoint, status, body),
       (err: ExchangeError) => {
         if (!request.signal.aborted) this._note(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
         return undefined
@@ -206,11 +217,11 @@
     return held
   }
 
-  private _held (endpoint: EndpointRecord, body: Buffer): HeldPrompt | undefined {
-    const result = this._parts.engines.prefillResult(body)
-    if (result === undefined) return undefined
-    this._note(endpoint, CallOutcome.Success)
-    return { endpoint, address: endpoint.address, handle: result.handle }
+  /** An engine that refuses prompts is full or changes its stage; it is left alone for a while like one that is unreachable. */
+  private _held (endpoint: EndpointRecord, status: number, body: Buffer): HeldPrompt | undefined {
+    const result = status === STATUS_OK ? this._parts.engines.prefillResult(body) : undefined
+    this._note(endpoint, result === undefined ? CallOutcome.Unreachable : CallOutcome.Success)
+    return result === undefined ? undefined : { endpoint, address: endpoint.address, handle: result.handle }
   }
 
   private async _openDecode (
@@ -251,6 +262,8 @@
     if (verdict === Verdict.NotRun) {
       answer.body.destroy()
       this._giveBack(request, reservation, prompt)
+      this._note(endpoint, CallOutcome.Failure)
+      progress.avoided.add(endpoint.id)
       return undefined
     }
     progress.runs += 1
@@ -279,8 +292,13 @@
       log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._sinceMs(request) })
     })
     log.request(request.id, 'stream ended', {
-      endpoint: endpoint.id, end, bytes: progress.relay.bytes, lastEvent: progress.relay.lastEventId, route: request.route.name,
-      ms: this._sinceMs(request), config: request.version
+      endpoint: endpoint.id,
+      end,
+      bytes: progress.relay.bytes,
+      lastEvent: progress.relay.lastEventId,
+      route: request.route.name,
+      ms: this._sinceMs(request),
+      config: request.version
     })
     if (end === RelayEnd.Complete) metrics.answered(request.route.kind, answer.status, this._sinceMs(request))
     if (end === RelayEnd.Broken) {
@@ -305,23 +323,33 @@
     return new RequestError(ErrorKind.Overloaded, 'no engine ran the request', { retryAfterMs: BUSY_RETRY_MS })
   }
 
+  protected override _expectedMs ({ id, stage }: EndpointRecord, work: Outstanding, tokens: number): number {
+    if (stage === EngineStage.Prefill) return this._parts.pace.expectedMs(id, work.tokens + tokens, PREFILL_INITIAL_TOKEN_MS)
+    return (work.tokens + tokens) * DECODE_TOKEN_MS
+  }
+
   private _ranked (request: GatewayRequest, stage: EngineStage, { avoided }: PromptProgress): readonly EndpointRecord[] {
-    const { state, zone, random } = this._parts
-    const pool = state.directory.usable(request.service.name).filter(record => (record.stage ?? EngineStage.Decode) === stage)
+    const { zone, random } = this._parts
+    const pool = this._pool(request, stage)
     const preferred = pool.filter(({ id }) => !avoided.has(id))
-    const records = preferred.length > 0 ? preferred : pool
-    const prefill = stage === EngineStage.Prefill
-    const candidates = this._candidates(records, PREFILL_INITIAL_TOKEN_MS)
-      .map(candidate => prefill ? candidate : { ...candidate, unitMs: DECODE_TOKEN_MS })
-    return this._ranking.rank(candidates, { zone, tokens: prefill ? promptTokensOf(request) : tokensOf(request) }, random)
+    const tokens = stage === EngineStage.Prefill ? promptTokensOf(request) : tokensOf(request)
+    return this._ranking.rank(this._candidates(preferred.length > 0 ? preferred : pool, tokens), zone, random)
   }
 
-  private _firstEventMs (request: GatewayRequest): number {
-    return FIRST_EVENT_FIXED_MS + this._prefillMs(request)
+  private _pool (request: GatewayRequest, stage: EngineStage): readonly EndpointRecord[] {
+    return this._parts.state.directory.usable(request.service.name).filter(record => (record.stage ?? EngineStage.Decode) === stage)
   }
 
+  /** Expected time of the prompt at the prefill engine that is free first; 0 when there is none. */
   private _prefillMs (request: GatewayRequest): number {
-    return promptTokensOf(request) * PREFILL_INITIAL_TOKEN_MS
+    const times = this._candidates(this._pool(request, EngineStage.Prefill), promptTokensOf(request))
+      .filter(({ suspect }) => !suspect)
+      .map(({ expectedMs }) => expectedMs)
+    return times.length === 0 ? 0 : Math.min(...times)
+  }
+
+  private _firstEventMs (request: GatewayRequest): number {
+    return FIRST_EVENT_FIXED_MS + this._prefillMs(request)
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillStageDriver.ts
@@ -0,0 +1,92 @@
+import { EngineStage, StageBalance, type PoolUse, type StageChange } from '@jaymill/core'
+import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
+import { PREFILL_INITIAL_TOKEN_MS, STAGE_CHECK_MS, STAGE_ORDER_TIMEOUT_MS } from './constants.js'
+import type { ForwardingParts } from './JaymillForwardingParts.js'
+
+/** What the driver works with. */
+export interface StageDriverParts extends ForwardingParts {
+  readonly hostId: string
+  /** Whether this host gives orders: the same one for all hosts that hear each other. */
+  readonly leads: () => boolean
+}
+
+/** Changes stages of engines when the pools' proportion does not fit what callers ask for. Every host watches, one orders. */
+export class StageDriver {
+  private readonly _parts: StageDriverParts
+  private readonly _balances = new Map<string, StageBalance>()
+  private _ordering = false
+
+  /**
+   * @param parts - State of the host.
+   */
+  constructor (parts: StageDriverParts) {
+    this._parts = parts
+  }
+
+  /**
+   * Runs until the signal aborts.
+   *
+   * @param signal - Ends it.
+   */
+  start (signal: AbortSignal): void {
+    const timer = setInterval(() => this._check(signal), STAGE_CHECK_MS)
+    signal.addEventListener('abort', () => clearInterval(timer), { once: true })
+  }
+
+  /**
+   * Tells that an engine has another stage now.
+   *
+   * @param service - Service of the engine.
+   */
+  stageChanged (service: string): void {
+    this._balance(service).changed(this._parts.clock.nowMs())
+  }
+
+  private _check (signal: AbortSignal): void {
+    const services = this._parts.state.config?.services ?? []
+    services.filter(({ engine }) => engine !== undefined).forEach(({ name, engine }) => {
+      const use = this._use(name, engine?.kvTokens ?? 0)
+      const nowMs = this._parts.clock.nowMs()
+      const balance = this._balance(name)
+      balance.observe(use, nowMs)
+      if (!this._parts.leads() || this._ordering) return
+      const change = balance.due(use, nowMs)
+      if (change !== undefined) this._order(change, use, signal)
+    })
+  }
+
+  private _use (service: string, kvTokens: number): PoolUse {
+    const { state, load, pace, demand, clock } = this._parts
+    const engines = state.directory.usable(service).map(({ id, stage }) => ({
+      id, stage: stage ?? EngineStage.Decode, tokens: load.at(id).tokens, tokenMs: pace.unitMs(id, PREFILL_INITIAL_TOKEN_MS)
+    }))
+    return { engines, kvTokens, ...demand.total(service, clock.nowMs()) }
+  }
+
+  private _order ({ engineId, to }: StageChange, { promptRate, waitingTokens }: PoolUse, signal: AbortSignal): void {
+    const { state, engines, hostId, log, clock } = this._parts
+    const endpoint = state.directory.get(engineId)
+    if (endpoint === undefined) return
+    this._ordering = true
+    const startMs = clock.nowMs()
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(STAGE_ORDER_TIMEOUT_MS)])
+    const tell = (outcome: string): void => log.belief('stage ordered', {
+      endpoint: engineId,
+      to,
+      outcome,
+      promptRate: Math.round(promptRate * 10) / 10,
+      waitingTokens,
+      directory: state.directory.revision,
+      ms: Math.round(clock.nowMs() - startMs)
+    })
+    engines.changeStage({ endpoint, stage: to, holder: hostId, fence: clock.wallMs() }, limit)
+      .then(accepted => tell(accepted ? 'accepted' : 'refused'), err => tell(err instanceof ExchangeError ? err.failure : String(err)))
+      .finally(() => { this._ordering = false })
+  }
+
+  private _balance (service: string): StageBalance {
+    const balance = this._balances.get(service) ?? new StageBalance()
+    this._balances.set(service, balance)
+    return balance
+  }
+}
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,9 +1,9 @@
-import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, SharedSlotsRanking, type EndpointRanking, type EndpointRecord } from '@jaymill/core'
+import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, ExpectedTimeRanking, type EndpointRanking, type EndpointRecord, type Outstanding } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
 import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
-import { MAX_REFUSED_TRIES, MIN_CALL_MS, PLAIN_INITIAL_MS, STREAM_SILENCE_MS } from './constants.js'
+import { MAX_REFUSED_TRIES, MIN_CALL_MS, STREAM_SILENCE_MS } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
@@ -23,7 +23,7 @@
    * @param parts - State of the host.
    * @param ranking - Order of endpoints.
    */
-  constructor (parts: ForwardingParts, ranking: EndpointRanking = new SharedSlotsRanking()) {
+  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
     super(parts)
     this._ranking = ranking
   }
@@ -70,6 +70,10 @@
     return end
   }
 
+  protected override _expectedMs (record: EndpointRecord, work: Outstanding): number {
+    return this._sharedSlotsMs(record, work)
+  }
+
   private _mayTry (request: GatewayRequest, { tried, runs }: StreamProgress): boolean {
     if (request.signal.aborted || this._leftMs(request) < MIN_CALL_MS || tried.length >= MAX_REFUSED_TRIES) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
@@ -79,7 +83,7 @@
   private _choose (request: GatewayRequest, { tried }: StreamProgress): EndpointRecord | undefined {
     const { state, zone, random } = this._parts
     const untried = state.directory.usable(request.service.name).filter(({ id }) => !tried.includes(id))
-    return this._ranking.rank(this._candidates(untried, PLAIN_INITIAL_MS), { zone, tokens: 0 }, random)[0]
+    return this._ranking.rank(this._candidates(untried, 0), zone, random)[0]
   }
 
   private _givenUp (request: GatewayRequest, { runs, relay }: StreamProgress): RequestError {
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -32,7 +32,7 @@
 export const RESERVE_WAIT_SHARE = 0.9
 
 /** Time of a prefill beyond which its engine counts as silent: a multiple of the expected time. */
-export const PREFILL_PATIENCE = 4
+export const PREFILL_PATIENCE = 3
 
 /** Time that a prefill may take beyond that multiple, in milliseconds. */
 export const PREFILL_PATIENCE_MS = 600
@@ -43,5 +43,14 @@
 /** Rounds through reservation and prefill of one request. */
 export const MAX_PROMPT_ROUNDS = 4
 
-/** Time added to the expected time of a prefill when a reservation is made, in milliseconds. */
+/** Time added to a multiple of the expected time of a prefill when a reservation is made, in milliseconds. */
 export const RESERVATION_MARGIN_MS = 700
+
+/** Pause between two looks at the use of the stages, in milliseconds. */
+export const STAGE_CHECK_MS = 500
+
+/** Time for an engine to accept an order, in milliseconds. */
+export const STAGE_ORDER_TIMEOUT_MS = 1_000
+
+/** Expected time of a prompt at the prefill engines beyond which a request waits before it takes room, in milliseconds. */
+export const PREFILL_BACKLOG_MS = 700
--- a/packages/gateway/src/peers/JaymillBeaconMessage.ts
+++ b/packages/gateway/src/peers/JaymillBeaconMessage.ts
@@ -17,6 +17,8 @@
   revision: count,
   /** Own work: endpoint id, requests, tokens. */
   load: z.array(z.tuple([text, count, count])),
+  /** Demand of own callers: service, prompt tokens a millisecond, KV tokens waited for. */
+  demand: z.array(z.tuple([text, count, count])),
   /** IP numbers of hosts heard of lately. */
   hosts: z.array(text),
   /** Whether an answer is wanted at once. */
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -1,6 +1,6 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import type { Clock, EndpointLoad } from '@jaymill/core'
+import type { Clock, EndpointLoad, PromptDemand } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -15,6 +15,7 @@
   readonly seeds: readonly string[]
   readonly state: FleetState
   readonly load: EndpointLoad
+  readonly demand: PromptDemand
   readonly clock: Clock
   readonly log: GatewayLog
 }
@@ -57,6 +58,11 @@
     return [...this._peers].filter(([, peer]) => peer.live).map(([ip]) => ip)
   }
 
+  /** Whether this host has the lowest address of those that hear each other. */
+  get leads (): boolean {
+    return !this._leaving && this.live.every(ip => this._parts.address < ip)
+  }
+
   /** Hosts that may be serving, this one included. */
   get hosts (): number {
     return this._peers.size + 1
@@ -113,6 +119,7 @@
   private _lost (ip: string, peer: PeerEntry, silentMs: number): void {
     peer.live = false
     this._parts.load.forget(ip)
+    this._parts.demand.adopt(ip, [])
     this._parts.log.belief('host is silent', { peer: ip, silentMs: Math.round(silentMs) })
   }
 
@@ -130,7 +137,7 @@
 
   private _beacon (ask: boolean): Beacon {
     this._seq += 1
-    const { address, state, load } = this._parts
+    const { address, state, load, demand, clock } = this._parts
     return {
       from: address,
       born: this._born,
@@ -138,6 +145,7 @@
       config: state.version,
       revision: state.directory.revision,
       load: load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens]),
+      demand: demand.own(clock.nowMs()).map(({ service, promptRate, waitingTokens }) => [service, round(promptRate), waitingTokens]),
       hosts: [...this.live],
       ask,
       leaving: this._leaving
@@ -160,6 +168,7 @@
     if (!peer.live) this._parts.log.belief('host heard', { peer: beacon.from, config: beacon.config, revision: beacon.revision })
     Object.assign(peer, { born: beacon.born, seq: beacon.seq, live: true, heardMs: this._parts.clock.nowMs() })
     this._parts.load.adopt(beacon.from, beacon.load.map(([endpointId, requests, tokens]) => ({ endpointId, requests, tokens })))
+    this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, waitingTokens]) => ({ service, promptRate, waitingTokens })))
     beacon.hosts.filter(ip => ip !== this._parts.address).forEach(ip => this._entry(ip))
     if (beacon.ask || !known) this._sendTo(beacon.from, Buffer.from(JSON.stringify(this._beacon(false))))
     this._compare(beacon)
@@ -177,3 +186,7 @@
     return peer
   }
 }
+
+function round (rate: number): number {
+  return Math.round(rate * 100) / 100
+}
--- a/packages/gateway/src/ports/JaymillEngineControl.ts
+++ b/packages/gateway/src/ports/JaymillEngineControl.ts
@@ -1,4 +1,4 @@
-import type { EndpointRecord } from '@jaymill/core'
+import type { EndpointRecord, EngineStage } from '@jaymill/core'
 
 /** Slot and KV cache that an engine keeps for one request. */
 export interface Reservation {
@@ -21,6 +21,16 @@
   readonly ttlMs: number
 }
 
+/** Order to an engine. */
+export interface StageOrder {
+  readonly endpoint: EndpointRecord
+  readonly stage: EngineStage
+  /** Host that gives the order. */
+  readonly holder: string
+  /** Fencing token; engines that check it refuse a lower one than they have seen. */
+  readonly fence: number
+}
+
 /** Calls to engines beside the requests themselves. */
 export abstract class EngineControl {
   /**
@@ -61,4 +71,14 @@
    * @returns Whether it says that it is healthy.
    */
   abstract isHealthy (endpoint: EndpointRecord, healthPath: string, signal: AbortSignal): Promise<boolean>
+
+  /**
+   * Orders an engine to do the work of another stage.
+   *
+   * @param order - The order.
+   * @param signal - Ends the call.
+   * @returns Whether the engine has accepted it.
+   * @throws ExchangeError when the engine gave no usable answer; it may have accepted the order.
+   */
+  abstract changeStage (order: StageOrder, signal: AbortSignal): Promise<boolean>
 }
