--- a/packages/core/src/gateway/JaymillWaitingOrder.ts
+++ b/packages/core/src/gateway/JaymillWaitingOrder.ts
@@ -1,4 +1,4 @@
-import { LAST_CALL_MS } from './constants.js'
+import { COME_BACK_MAX_MS, COME_BACK_MIN_MS, LAST_CALL_MS } from './constants.js'
 
 /** A request that waits for room at the engines. */
 export interface Waiting {
@@ -11,6 +11,10 @@
   readonly patientUntilMs: number
   /** KV cache that it needs, in tokens. */
   readonly tokens: number
+  /** Tokens that it is expected to hold times the tokens that it is expected to generate: what it takes from others. */
+  readonly cost: number
+  /** Whether its caller was refused before and has come back. */
+  readonly returned: boolean
 }
 
 /** Order in which waiting requests get room. */
@@ -41,9 +45,9 @@
 }
 
 /**
- * Answer to a burst that exceeds the engines' memory for a few seconds: requests that can still be on time come first, the
- * earliest deadline before later ones; those that are late anyway wait until the burst is over, but get room before their
- * callers give up.
+ * Answer to a burst that exceeds the engines' memory for a few seconds: requests that can still be on time come first, cheap
+ * ones before dear ones so that more callers are served; those that are late anyway wait until the burst is over, but get
+ * room before their callers give up.
  */
 export class OnTimeFirstOrder extends WaitingOrder {
   /** {@inheritDoc WaitingOrder.sort} */
@@ -55,7 +59,7 @@
   }
 
   private _within (a: Waiting, b: Waiting, turn: Turn): number {
-    return turn === Turn.OnTime ? a.onTimeUntilMs - b.onTimeUntilMs : a.patientUntilMs - b.patientUntilMs
+    return turn === Turn.OnTime ? a.cost - b.cost : a.patientUntilMs - b.patientUntilMs
   }
 }
 
@@ -63,3 +67,17 @@
   if (nowMs <= onTimeUntilMs) return Turn.OnTime
   return patientUntilMs - nowMs <= LAST_CALL_MS ? Turn.LastCall : Turn.Late
 }
+
+/**
+ * Decides whether a late request goes on waiting. One whose caller would give up before the requests ahead have ended is
+ * refused at once, so that its caller can come back when the burst is over; one that has come back before is kept.
+ *
+ * @param item - A waiting request.
+ * @param backlogMs - Time until the requests that wait now will have got room, in milliseconds.
+ * @param nowMs - Monotonic time in milliseconds.
+ * @returns Time after which its caller should come back, in milliseconds, or `undefined` when it goes on waiting.
+ */
+export function comeBackMs (item: Waiting, backlogMs: number, nowMs: number): number | undefined {
+  if (item.returned || nowMs <= item.onTimeUntilMs || nowMs + backlogMs <= item.patientUntilMs - LAST_CALL_MS) return undefined
+  return Math.min(COME_BACK_MAX_MS, Math.max(COME_BACK_MIN_MS, backlogMs))
+}
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -54,3 +54,9 @@
 
 /** Time with traffic before an engine may be taken from decode, in milliseconds: the use of KV cache shows only after some answers. */
 export const BALANCE_SETTLE_MS = 12_000
+
+/** Shortest time after which a refused caller is asked to come back, in milliseconds; about half an answer. */
+export const COME_BACK_MIN_MS = 1_500
+
+/** Longest time after which a refused caller is asked to come back, in milliseconds; callers wait up to a third of their time. */
+export const COME_BACK_MAX_MS = 4_000
--- a/packages/gateway/src/endpoints/constants.ts
+++ b/packages/gateway/src/endpoints/constants.ts
@@ -2,7 +2,7 @@
 export const CONNECT_TIMEOUT_MS = 400
 
 /** Idle time after which a kept connection is closed when the endpoint names none, in milliseconds. */
-export const KEEP_ALIVE_DEFAULT_MS = 1_000
+export const KEEP_ALIVE_DEFAULT_MS = 3_000
 
 /** Time before the endpoint's own idle timeout at which a kept connection is closed, in milliseconds. */
 export const KEEP_ALIVE_MARGIN_MS = 1_000
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -10,9 +10,9 @@
 import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
-import type { KvSource } from '../ports/JaymillWireDialect.js'
+import type { KvSource, PromptFacts } from '../ports/JaymillWireDialect.js'
 import {
-  DECODE_TOKEN_MS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
+  ANSWER_MARGIN, DECODE_TOKEN_MS, HELD_INITIAL_MS, HELD_WEIGHT, RETURNED_SHARE, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
   FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
@@ -48,6 +48,8 @@
 export class PromptForwarder extends Forwarder {
   private readonly _ranking: EndpointRanking
   private readonly _queues = new Map<string, RoomQueue>()
+  /** Time for which a request holds room, in milliseconds; mean of recent ones. */
+  private _heldMs = HELD_INITIAL_MS
   private readonly _askedMs = new Map<string, number>()
 
   /**
@@ -70,20 +72,27 @@
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
     progress.rounds += 1
     const held = new AbortController()
+    let sinceMs = 0
     try {
       const reservation = await this._reserve(request, progress)
+      sinceMs = this._parts.clock.nowMs()
       this._trackLoad(reservation.endpoint, tokensOf(request), held.signal)
       const again = await this._run(request, progress, reservation)
+      this._noteHeld(this._parts.clock.nowMs() - sinceMs)
       if (!again) return
     } finally {
       held.abort()
-      this._queue(request.service.name).roomFreed()
+      this._queue(request).roomFreed()
     }
     if (request.res.writableEnded) return
     if (!this._mayGoOn(request, progress)) throw this._givenUp(request, progress)
     await this._round(request, progress)
   }
 
+  private _noteHeld (ms: number): void {
+    this._heldMs += (ms - this._heldMs) * HELD_WEIGHT
+  }
+
   private _mayGoOn (request: GatewayRequest, { runs, rounds }: PromptProgress): boolean {
     if (request.signal.aborted || this._leftMs(request) < MIN_CALL_MS) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
@@ -91,32 +100,42 @@
   }
 
   private async _reserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation> {
-    const { arrivedMs, route, signal } = request
+    const { arrivedMs, route, signal, facts } = request
     const patientMs = Math.min(this._leftMs(request) * RESERVE_WAIT_SHARE, FIRST_EVENT_PATIENCE * route.targetLatencyMs)
-    const reservation = await this._queue(request.service.name).acquire({
+    const { reservation, comeBackMs } = await this._queue(request).acquire({
       id: request.id,
       arrivedMs,
       onTimeUntilMs: arrivedMs + route.targetLatencyMs - this._firstEventMs(request),
       patientUntilMs: Math.max(arrivedMs + patientMs, this._parts.clock.nowMs()),
       tokens: tokensOf(request),
+      cost: tokensOf(request) * (facts.prompt?.expectedAnswerTokens ?? 0),
+      returned: (facts.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETURNED_SHARE || progress.rounds > 1,
       signal,
       reserve: async () => this._prefillMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._firstReservation(request, this._withRoom(request, progress))
     })
     if (reservation !== undefined && !signal.aborted) return reservation
     if (reservation !== undefined) this._giveBack(request, reservation, undefined)
     if (signal.aborted || progress.relay.started) throw this._givenUp(request, progress)
-    throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: BUSY_RETRY_MS })
+    throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: comeBackMs ?? BUSY_RETRY_MS })
   }
 
-  private _queue (service: string): RoomQueue {
+  private _queue (request: GatewayRequest): RoomQueue {
+    const service = request.service.name
     const known = this._queues.get(service)
     if (known !== undefined) return known
-    const queue = new RoomQueue(this._parts.clock)
+    const queue = new RoomQueue(this._parts.clock, () => this._backlogMs(request))
     this._queues.set(service, queue)
     this._parts.demand.watchWaiting(service, () => queue.tokens)
     return queue
   }
 
+  /** Time until all that wait for room will have got it: full engines free their memory once in an answer's time. */
+  private _backlogMs (request: GatewayRequest): number {
+    const { demand, clock } = this._parts
+    const capacity = this._pool(request, EngineStage.Decode).length * (request.service.engine?.kvTokens ?? 0)
+    return capacity === 0 ? 0 : demand.total(request.service.name, clock.nowMs()).waitingTokens / capacity * this._heldMs
+  }
+
   /** Engines that seem to have room, and those that were not asked for a while. */
   private _withRoom (request: GatewayRequest, progress: PromptProgress): readonly EndpointRecord[] {
     const { load, clock } = this._parts
@@ -358,5 +377,11 @@
 }
 
 function tokensOf ({ facts }: GatewayRequest): number {
-  return promptTokensOf({ facts } as GatewayRequest) + (facts.prompt?.maxAnswerTokens ?? 0)
+  return promptTokensOf({ facts } as GatewayRequest) + reservedAnswerTokens(facts.prompt)
+}
+
+/** Room for an answer somewhat longer than its estimate; an engine lets a longer one grow while it has memory. */
+function reservedAnswerTokens (prompt: PromptFacts | undefined): number {
+  if (prompt === undefined) return 0
+  return Math.min(prompt.maxAnswerTokens, Math.ceil(prompt.expectedAnswerTokens * ANSWER_MARGIN))
 }
--- a/packages/gateway/src/forwarding/JaymillRoomQueue.ts
+++ b/packages/gateway/src/forwarding/JaymillRoomQueue.ts
@@ -1,4 +1,4 @@
-import { OnTimeFirstOrder, type Clock, type Waiting, type WaitingOrder } from '@jaymill/core'
+import { comeBackMs, OnTimeFirstOrder, type Clock, type Waiting, type WaitingOrder } from '@jaymill/core'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import { ROOM_RETRY_MS } from './constants.js'
 
@@ -10,24 +10,34 @@
   readonly reserve: () => Promise<Reservation | undefined>
 }
 
+/** How the wait for room has ended. */
+export interface RoomOutcome {
+  readonly reservation?: Reservation
+  /** Time after which the caller should come back, in milliseconds, when the wait would be in vain. */
+  readonly comeBackMs?: number
+}
+
 interface QueuedRequest extends RoomRequest {
-  readonly resolve: (reservation: Reservation | undefined) => void
+  readonly resolve: (outcome: RoomOutcome) => void
 }
 
 /** Queue of one service's requests on this host that wait for room at its engines. One is tried at a time. */
 export class RoomQueue {
   private readonly _clock: Clock
   private readonly _order: WaitingOrder
+  private readonly _backlogMs: () => number
   private _waiting: readonly QueuedRequest[] = []
   private _pumping = false
   private _timer: NodeJS.Timeout | undefined
 
   /**
    * @param clock - Source of time.
+   * @param backlogMs - Tells the time until all that wait now, on every host, will have got room, in milliseconds.
    * @param order - Order of the requests.
    */
-  constructor (clock: Clock, order: WaitingOrder = new OnTimeFirstOrder()) {
+  constructor (clock: Clock, backlogMs: () => number, order: WaitingOrder = new OnTimeFirstOrder()) {
     this._clock = clock
+    this._backlogMs = backlogMs
     this._order = order
   }
 
@@ -45,13 +55,13 @@
    * Waits for room.
    *
    * @param request - Request that needs it.
-   * @returns The reservation, or `undefined` when the request's patience or signal has ended.
+   * @returns The reservation; none when the request's patience or signal has ended, or the wait would be in vain.
    */
-  async acquire (request: RoomRequest): Promise<Reservation | undefined> {
+  async acquire (request: RoomRequest): Promise<RoomOutcome> {
     return await new Promise(resolve => {
       const queued = { ...request, resolve }
       this._waiting = [...this._waiting, queued]
-      request.signal.addEventListener('abort', () => this._leave(queued, undefined), { once: true })
+      request.signal.addEventListener('abort', () => this._leave(queued, {}), { once: true })
       this.roomFreed()
     })
   }
@@ -69,7 +79,12 @@
 
   private async _pump (): Promise<void> {
     const nowMs = this._clock.nowMs()
-    this._waiting.filter(({ patientUntilMs }) => patientUntilMs < nowMs).forEach(queued => this._leave(queued, undefined))
+    const backlogMs = this._backlogMs()
+    this._waiting.filter(({ patientUntilMs }) => patientUntilMs < nowMs).forEach(queued => this._leave(queued, {}))
+    this._waiting.forEach(queued => {
+      const ms = comeBackMs(queued, backlogMs, nowMs)
+      if (ms !== undefined) this._leave(queued, { comeBackMs: ms })
+    })
     await this._tryInOrder(this._order.sort(this._waiting, nowMs), Number.POSITIVE_INFINITY)
   }
 
@@ -79,12 +94,12 @@
     if (queued === undefined) return
     const skipped = queued.signal.aborted || queued.tokens >= tooMany
     const reservation = skipped ? undefined : await queued.reserve()
-    if (reservation !== undefined) this._leave(queued, reservation)
+    if (reservation !== undefined) this._leave(queued, { reservation })
     await this._tryInOrder(rest, skipped || reservation !== undefined ? tooMany : queued.tokens)
   }
 
-  private _leave (queued: QueuedRequest, reservation: Reservation | undefined): void {
+  private _leave (queued: QueuedRequest, outcome: RoomOutcome): void {
     this._waiting = this._waiting.filter(other => other !== queued)
-    queued.resolve(reservation)
+    queued.resolve(outcome)
   }
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -20,7 +20,7 @@
 export const ROOM_RETRY_MS = 15
 
 /** Time after which an engine that seems full is asked all the same, in milliseconds: what hosts tell may be late or lost. */
-export const ROOM_DOUBT_MS = 100
+export const ROOM_DOUBT_MS = 250
 
 /** Wait of a caller for the first event of a stream before it gives up, as a multiple of the route's target (users' protocol). */
 export const FIRST_EVENT_PATIENCE = 3.6
@@ -54,3 +54,15 @@
 
 /** Expected time of a prompt at the prefill engines beyond which a request waits before it takes room, in milliseconds. */
 export const PREFILL_BACKLOG_MS = 700
+
+/** Room reserved for an answer, relative to its estimate. */
+export const ANSWER_MARGIN = 1.25
+
+/** Time for which a request holds room before there is a measurement, in milliseconds; an answer of some hundred tokens. */
+export const HELD_INITIAL_MS = 3_500
+
+/** Weight of the newest measurement of that time. */
+export const HELD_WEIGHT = 0.1
+
+/** Share of the route's time limit below which a caller's deadline shows that it has tried before. */
+export const RETURNED_SHARE = 0.97
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -6,6 +6,8 @@
   readonly promptTokens: number
   /** Most tokens of the answer. */
   readonly maxAnswerTokens: number
+  /** The caller's estimate of the answer, which may be far off; the most without one. */
+  readonly expectedAnswerTokens: number
 }
 
 /** What the headers of a caller's request say. */
