--- /dev/null
+++ b/packages/core/src/__tests__/unit/gateway/JaymillStageBalance.test.ts
@@ -0,0 +1,53 @@
+import { expect, test } from 'vitest'
+import { EngineStage, StageBalance, type BalancedEngine, type PoolUse, type StageChange } from '../../../index.js'
+
+const KV_TOKENS = 64_000
+const TOKEN_MS = 1 / 45
+
+function pool (prefill: number, decode: number, heldTokens: number, promptRate: number): PoolUse {
+  const engine = (id: string, stage: EngineStage, tokens: number): BalancedEngine => ({ id, stage, tokens, tokenMs: TOKEN_MS })
+  const engines = [
+    ...Array.from({ length: prefill }, (_, i) => engine(`p${i}`, EngineStage.Prefill, 0)),
+    ...Array.from({ length: decode }, (_, i) => engine(`d${i}`, EngineStage.Decode, heldTokens / decode))
+  ]
+  return { engines, kvTokens: KV_TOKENS, waitingTokens: 0, promptRate }
+}
+
+function play (balance: StageBalance, use: PoolUse, fromMs: number, toMs: number): StageChange | undefined {
+  return Array.from({ length: (toMs - fromMs) / 500 }, (_, i) => fromMs + i * 500)
+    .map(nowMs => {
+      balance.observe(use, nowMs)
+      return balance.due(use, nowMs)
+    })
+    .find(change => change !== undefined)
+}
+
+test('long answers: moves an engine to decode when KV cache is short and prefill has room', () => {
+  expect(play(new StageBalance(), pool(3, 3, 150_000, 30), 0, 8_000)?.to).toBe(EngineStage.Decode)
+})
+
+test('long prompts: moves an engine to prefill when prompts are read too slowly, but not early', () => {
+  const balance = new StageBalance()
+  expect(play(balance, pool(1, 5, 60_000, 60), 0, 10_000)).toBeUndefined()
+  expect(play(balance, pool(1, 5, 60_000, 60), 10_000, 20_000)?.to).toBe(EngineStage.Prefill)
+})
+
+test('leaves a pool alone that fits what is asked for', () => {
+  expect(play(new StageBalance(), pool(2, 4, 150_000, 32), 0, 60_000)).toBeUndefined()
+})
+
+test('keeps the last engine of a stage', () => {
+  expect(play(new StageBalance(), pool(1, 2, 128_000, 2), 0, 60_000)).toBeUndefined()
+})
+
+test('does not move another engine until the first change has had its effect', () => {
+  const balance = new StageBalance()
+  const use = pool(4, 2, 150_000, 20)
+  expect(play(balance, use, 0, 10_000)).toBeDefined()
+  expect(play(balance, use, 10_000, 20_000)).toBeUndefined()
+  expect(play(balance, use, 20_000, 40_000)).toBeDefined()
+})
+
+test('leaves an idle pool alone', () => {
+  expect(play(new StageBalance(), pool(3, 3, 0, 0), 0, 60_000)).toBeUndefined()
+})
