--- a/packages/core/src/__tests__/unit/gateway/JaymillBurst.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillBurst.test.ts
@@ -25,8 +25,14 @@
     const tokens = 1_500 + random.next() * 8_000
     const holdMs = 1_000 + random.next() * 5_000
     return {
-      id: String(i), arrivedMs, tokens, holdMs, cost: tokens * holdMs, returned: false,
-      onTimeUntilMs: arrivedMs + TARGET_MS - FIRST_EVENT_MS, patientUntilMs: arrivedMs + PATIENCE_MS
+      id: String(i),
+      arrivedMs,
+      tokens,
+      holdMs,
+      cost: tokens * holdMs,
+      returned: false,
+      onTimeUntilMs: arrivedMs + TARGET_MS - FIRST_EVENT_MS,
+      patientUntilMs: arrivedMs + PATIENCE_MS
     }
   })
 }
--- a/packages/core/src/__tests__/unit/gateway/JaymillRouteTable.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillRouteTable.test.ts
@@ -3,8 +3,17 @@
 
 function route (name: string, host: string, prefix: string, over: Partial<GatewayRoute> = {}): GatewayRoute {
   return {
-    name, host, prefix, kind: RouteKind.Safe, timeoutMs: 1_000, targetLatencyMs: 100, priority: 1, targets: [{ service: 's', weight: 1 }],
-    maxAttempts: 2, resumable: false, ...over
+    name,
+    host,
+    prefix,
+    kind: RouteKind.Safe,
+    timeoutMs: 1_000,
+    targetLatencyMs: 100,
+    priority: 1,
+    targets: [{ service: 's', weight: 1 }],
+    maxAttempts: 2,
+    resumable: false,
+    ...over
   }
 }
 
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -113,11 +113,9 @@
     this._phase = Phase.Stopping
     log.belief('stopping', { running: this._ingress.running, graceSeconds: this._settings.bounds.graceSeconds })
     this._beacons.leave()
-    this._ingress.closeConnections()
-    await this._until(() => clock.nowMs() - startMs >= STOP_ACCEPT_MS)
-    this._ingress.refuseNew()
     const endMs = startMs + this._settings.bounds.graceSeconds * SECOND_MS - STOP_MARGIN_MS
-    await this._until(() => this._ingress.running === 0 || clock.nowMs() >= endMs)
+    this._ingress.stopAt(endMs)
+    await this._until(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
     log.belief('stopped', { running: this._ingress.running, ms: Math.round(clock.nowMs() - startMs) })
     this._abort.abort()
   }
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -17,8 +17,7 @@
   private readonly _choose: ForwarderChoice
   private readonly _server: Server
   private _running = 0
-  private _closing = false
-  private _refusing = false
+  private _stopAtMs: number | undefined
 
   /**
    * @param parts - State of the host.
@@ -56,14 +55,13 @@
     this._server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  /** Closes each connection after its next answer. */
-  closeConnections (): void {
-    this._closing = true
-  }
-
-  /** Refuses new requests as not run. */
-  refuseNew (): void {
-    this._refusing = true
+  /**
+   * Closes each connection after its next answer, and refuses requests that would not end in time.
+   *
+   * @param atMs - Monotonic time at which the host stops, in milliseconds.
+   */
+  stopAt (atMs: number): void {
+    this._stopAtMs = atMs
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -71,7 +69,7 @@
     const facts = this._parts.dialect.requestFacts(req.headers)
     this._running += 1
     res.once('close', () => { this._running -= 1 })
-    if (this._closing) res.setHeader('Connection', 'close')
+    if (this._stopAtMs !== undefined) res.setHeader('Connection', 'close')
     try {
       const { route, service, version, config } = this._route(req)
       const { signal, deadlineMs } = this._limit(res, route, arrivedMs, facts.deadlineMs)
@@ -79,7 +77,9 @@
       const id = facts.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
       const request = { id, req, res, route, service, facts, version, body, arrivedMs, deadlineMs, signal }
-      await this._choose(request).forward(request)
+      const forwarder = this._choose(request)
+      this._checkEnds(forwarder.durationMs(request))
+      await forwarder.forward(request)
     } catch (err) {
       this._refuse(req, res, facts.requestId, err, arrivedMs)
     }
@@ -90,7 +90,6 @@
     if (config === undefined || table === undefined) {
       throw new RequestError(ErrorKind.NotReady, 'no configuration is known yet', { retryAfterMs: NOT_READY_RETRY_MS })
     }
-    if (this._refusing) throw new RequestError(ErrorKind.Stopping, 'the host is stopping', { retryAfterMs: 0 })
     checkHeaderSize(req, config.limits.maxHeaderBytes)
     const route = table.find(req.headers.host ?? '', req.url ?? '')
     if (route === undefined) throw new RequestError(ErrorKind.NotFound, 'no route matches')
@@ -99,6 +98,11 @@
     return { route, service, version: config.version, config }
   }
 
+  private _checkEnds (durationMs: number): void {
+    if (this._stopAtMs === undefined || this._parts.clock.nowMs() + durationMs <= this._stopAtMs) return
+    throw new RequestError(ErrorKind.Stopping, 'the host stops before the request would end', { retryAfterMs: 0 })
+  }
+
   private _limit (
     res: ServerResponse, route: GatewayRoute, arrivedMs: number, callerMs: number | undefined
   ): { signal: AbortSignal, deadlineMs: number } {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -50,6 +50,12 @@
     return Math.max(0, Math.floor(deadlineMs - this._parts.clock.nowMs()))
   }
 
+  /**
+   * @param request - A request.
+   * @returns Time that it is likely to take at most, in milliseconds.
+   */
+  abstract durationMs (request: GatewayRequest): number
+
   /** Expected time of a request at an endpoint with other work. */
   protected abstract _expectedMs (record: EndpointRecord, work: Outstanding, tokens: number): number
 
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -7,7 +7,7 @@
 import { WHOLE_ANSWER_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { WholeAnswer } from '../endpoints/JaymillOpenAnswer.js'
-import { MAX_REFUSED_TRIES, MIN_CALL_MS } from './constants.js'
+import { MAX_REFUSED_TRIES, MIN_CALL_MS, PLAIN_DURATION_TARGETS } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
@@ -40,6 +40,11 @@
     this._ranking = ranking
   }
 
+  /** {@inheritDoc Forwarder.durationMs} */
+  durationMs ({ route }: GatewayRequest): number {
+    return PLAIN_DURATION_TARGETS * route.targetLatencyMs
+  }
+
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
     this._parts.budget.counted(request.service.name, this._parts.clock.nowMs())
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -12,7 +12,7 @@
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import type { KvSource, PromptFacts } from '../ports/JaymillWireDialect.js'
 import {
-  ANSWER_MARGIN, DECODE_TOKEN_MS, HELD_INITIAL_MS, HELD_WEIGHT, RETURNED_SHARE, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
+  ANSWER_MARGIN, DECODE_TOKEN_MS, HELD_INITIAL_MS, HELD_WEIGHT, LONG_ANSWER, RETURNED_SHARE, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
   FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
@@ -50,6 +50,8 @@
   private readonly _queues = new Map<string, RoomQueue>()
   /** Time for which a request holds room, in milliseconds; mean of recent ones. */
   private _heldMs = HELD_INITIAL_MS
+  /** Estimate of an answer, in tokens; mean of recent ones. */
+  private _answerTokens = 0
   private readonly _askedMs = new Map<string, number>()
 
   /**
@@ -61,6 +63,12 @@
     this._ranking = ranking
   }
 
+  /** {@inheritDoc Forwarder.durationMs} */
+  durationMs ({ facts }: GatewayRequest): number {
+    const expected = facts.prompt?.expectedAnswerTokens ?? 0
+    return this._heldMs * LONG_ANSWER * expected / Math.max(1, this._answerTokens)
+  }
+
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
     const { budget, demand, clock } = this._parts
@@ -78,7 +86,7 @@
       sinceMs = this._parts.clock.nowMs()
       this._trackLoad(reservation.endpoint, tokensOf(request), held.signal)
       const again = await this._run(request, progress, reservation)
-      this._noteHeld(this._parts.clock.nowMs() - sinceMs)
+      this._noteHeld(request, this._parts.clock.nowMs() - sinceMs)
       if (!again) return
     } finally {
       held.abort()
@@ -89,8 +97,10 @@
     await this._round(request, progress)
   }
 
-  private _noteHeld (ms: number): void {
+  private _noteHeld ({ facts }: GatewayRequest, ms: number): void {
+    const expected = facts.prompt?.expectedAnswerTokens ?? 0
     this._heldMs += (ms - this._heldMs) * HELD_WEIGHT
+    this._answerTokens += (expected - this._answerTokens) * (this._answerTokens === 0 ? 1 : HELD_WEIGHT)
   }
 
   private _mayGoOn (request: GatewayRequest, { runs, rounds }: PromptProgress): boolean {
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -66,3 +66,9 @@
 
 /** Share of the route's time limit below which a caller's deadline shows that it has tried before. */
 export const RETURNED_SHARE = 0.97
+
+/** Longest usual time of a plain request, as a multiple of its route's target. */
+export const PLAIN_DURATION_TARGETS = 3
+
+/** Time of an answer that is longer than its estimate, as a multiple of the expected time. */
+export const LONG_ANSWER = 1.3
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
   resolve: { conditions: ['jaymill-source'] },
   ssr: { resolve: { conditions: ['jaymill-source'] } },
   test: {
-    include: ['packages/*/src/**/__tests__/**/*.test.ts'],
+    include: ['{packages/*,platform}/src/**/__tests__/**/*.test.ts'],
     testTimeout: 30_000,
     pool: 'forks'
   }
