Keep work off engines that change their stage, off engines that leave, and unframed answers unframed

Change: orders are told in beacons; a reserved engine is checked again after the prompt; an answer that ends with its connection is passed on in the same way.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -13,6 +13,8 @@
   conditions: ['jaymill-source'],
   mainFields: ['module', 'main'],
   minifySyntax: true,
+  minifyIdentifiers: true,
+  keepNames: true,
   minifyWhitespace: true,
   legalComments: 'none',
   banner: { js: REQUIRE_BANNER },
--- a/packages/core/src/__tests__/unit/gateway/JaymillStageBalance.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillStageBalance.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { EngineStage, StageBalance, type BalancedEngine, type PoolUse, type StageChange } from '../../../index.js'
+import { EngineStage, StageBalance, StageChanges, type BalancedEngine, type PoolUse, type StageChange } from '../../../index.js'
 
 const KV_TOKENS = 64_000
 const TOKEN_MS = 1 / 45
@@ -51,3 +51,16 @@
 test('leaves an idle pool alone', () => {
   expect(play(new StageBalance(), pool(3, 3, 0, 0), 0, 60_000)).toBeUndefined()
 })
+
+test('an engine that changes its stage is known to every host that hears the one that ordered it', () => {
+  const changes = new StageChanges()
+  changes.begin('e1', 1_000)
+  changes.adopt('h2', ['e2'])
+  expect(['e1', 'e2', 'e3'].filter(id => changes.has(id, 500))).toEqual(['e1', 'e2'])
+  expect(changes.own(500)).toEqual(['e1'])
+  expect(changes.has('e1', 1_000)).toBe(false)
+  changes.begin('e1', 2_000)
+  changes.end('e1')
+  changes.adopt('h2', [])
+  expect(['e1', 'e2'].filter(id => changes.has(id, 500))).toEqual([])
+})
--- a/packages/core/src/gateway/JaymillGatewayConfig.ts
+++ b/packages/core/src/gateway/JaymillGatewayConfig.ts
@@ -46,6 +46,8 @@
   readonly handleTtlMs: number
   /** Longest reservation that an engine grants, in milliseconds. */
   readonly reservationMaxMs: number
+  /** Time that a change of an engine's stage takes after its running work has ended, in milliseconds. */
+  readonly stageChangeMs: number
 }
 
 /** A group of interchangeable endpoints. */
--- a/packages/core/src/gateway/JaymillStageBalance.ts
+++ b/packages/core/src/gateway/JaymillStageBalance.ts
@@ -47,11 +47,12 @@
    */
   observe (use: PoolUse, nowMs: number): void {
     const held = use.engines.filter(({ stage }) => stage === EngineStage.Decode).reduce((sum, { tokens }) => sum + tokens, 0)
+    if (use.promptRate > 0) this._sinceMs ??= nowMs
+    if (this._sinceMs === undefined) return
     const kept = this._atMs === undefined ? 0 : Math.exp((this._atMs - nowMs) / BALANCE_SMOOTH_MS)
     this._promptRate = this._promptRate * kept + use.promptRate * (1 - kept)
     this._kvTokens = this._kvTokens * kept + (held + use.waitingTokens) * (1 - kept)
     this._atMs = nowMs
-    if (this._promptRate > 0) this._sinceMs ??= nowMs
   }
 
   /**
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -29,13 +29,13 @@
 export const PACE_MIN_SPREAD = 0.15
 
 /** Weight of the prefill stage's use: a queue that is served one by one grows long before its server is fully used. */
-export const PREFILL_USE_WEIGHT = 1.6
+export const PREFILL_USE_WEIGHT = 1.3
 
 /** Time before a caller gives up at which its request gets room before others, in milliseconds: a prefill and a share of an answer. */
 export const LAST_CALL_MS = 900
 
-/** Time over which the use of the stages is averaged, in milliseconds; about one answer. */
-export const BALANCE_SMOOTH_MS = 4_000
+/** Time over which the use of the stages is averaged, in milliseconds; longer than a burst that a change would come too late for. */
+export const BALANCE_SMOOTH_MS = 8_000
 
 /** Time with traffic before the first change of a stage, in milliseconds. */
 export const BALANCE_WARM_MS = 3_000
@@ -47,7 +47,7 @@
 export const BALANCE_GAIN = 0.85
 
 /** Use of the fuller stage below which nothing is changed. */
-export const BALANCE_MIN_USE = 0.3
+export const BALANCE_MIN_USE = 0.5
 
 /** Time over which a host averages the prompts of its callers, in milliseconds. */
 export const DEMAND_SMOOTH_MS = 2_000
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import {
-  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, type DirectoryNote
+  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, StageChanges, type DirectoryNote
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
@@ -70,12 +70,13 @@
     const { clock, random, log, source } = adapters
     const load = new EndpointLoad()
     const demand = new PromptDemand()
+    const changes = new StageChanges()
     this._state = new FleetState(clock, log)
     this._follower = new FleetFollower({ source, state: this._state, clock, random, log })
     const seeds = settings.seeds.map(({ address }) => address)
     const { host, listen } = settings
-    this._beacons = new HostBeacons({ address: host.address, listen: listen.beacon, seeds, state: this._state, load, demand, clock, log })
-    this._parts = this._forwardingParts(load, demand)
+    this._beacons = new HostBeacons({ address: host.address, listen: listen.beacon, seeds, state: this._state, load, demand, changes, clock, log })
+    this._parts = this._forwardingParts(load, demand, changes)
     this._stages = new StageDriver({ ...this._parts, hostId: host.id, leads: () => this._beacons.leads })
     this._ingress = new Ingress(this._parts, this._chooser())
   }
@@ -120,7 +121,7 @@
     this._abort.abort()
   }
 
-  private _forwardingParts (load: EndpointLoad, demand: PromptDemand): ForwardingParts {
+  private _forwardingParts (load: EndpointLoad, demand: PromptDemand, changes: StageChanges): ForwardingParts {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     return {
@@ -135,6 +136,7 @@
       state: this._state,
       load,
       demand,
+      changes,
       reliability: new EndpointReliability(),
       pace: new EndpointPace(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * SECOND_MS }),
@@ -176,7 +178,7 @@
   }
 
   private _directoryChanged ({ event, record }: DirectoryNote): void {
-    if (event === DirectoryEvent.Changed && record.stage !== undefined) this._stages.stageChanged(record.service)
+    if (event === DirectoryEvent.Changed && record.stage !== undefined) this._stages.stageChanged(record)
     if (event !== DirectoryEvent.Removed) return
     this._parts.calls.forget(record)
     this._parts.reliability.forget(record.id)
--- a/packages/gateway/src/callers/JaymillReply.ts
+++ b/packages/gateway/src/callers/JaymillReply.ts
@@ -33,6 +33,22 @@
   return !CONNECTION_HEADERS.has(name) && name !== 'content-length' && name !== 'expect'
 }
 
+/**
+ * Prepares an answer whose end is only marked by the end of its connection (RFC 9112, section 6.3). Nobody can tell whether
+ * such an answer is whole, so that it is passed on in the same way and no length vouches for it.
+ *
+ * @param res - Response to the caller.
+ * @param headers - Headers of the endpoint's answer.
+ * @returns Whether the answer is of that kind.
+ */
+export function prepareUnframed (res: ServerResponse, headers: IncomingHttpHeaders): boolean {
+  const unframed = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+  if (!unframed) return false
+  res.removeHeader('Transfer-Encoding')
+  res.setHeader('Connection', 'close')
+  return true
+}
+
 /**
  * Passes a whole answer of an endpoint on.
  *
@@ -40,7 +56,8 @@
  * @param answer - The answer.
  */
 export function relay (res: ServerResponse, { status, headers, body }: WholeAnswer): void {
-  res.writeHead(status, { ...endToEnd(headers), 'content-length': body.length })
+  const length = prepareUnframed(res, headers) ? {} : { 'content-length': body.length }
+  res.writeHead(status, { ...endToEnd(headers), ...length })
   res.end(body)
 }
 
--- a/packages/gateway/src/forwarding/JaymillForwardingParts.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingParts.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random } from '@jaymill/core'
+import type { Clock, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, StageChanges } from '@jaymill/core'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -22,6 +22,7 @@
   readonly pace: EndpointPace
   readonly budget: FleetRetryBudget
   readonly demand: PromptDemand
+  readonly changes: StageChanges
   /** Hosts that share the retry budget. */
   readonly hosts: () => number
   /** Tells other hosts that this host's work has changed. */
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -148,10 +148,12 @@
 
   /** Engines that seem to have room, and those that were not asked for a while. */
   private _withRoom (request: GatewayRequest, progress: PromptProgress): readonly EndpointRecord[] {
-    const { load, clock } = this._parts
+    const { load, clock, reliability } = this._parts
     const kvTokens = request.service.engine?.kvTokens ?? Number.POSITIVE_INFINITY
     const nowMs = clock.nowMs()
-    return this._ranked(request, EngineStage.Decode, progress).filter(({ id }) => {
+    const ranked = this._ranked(request, EngineStage.Decode, progress)
+    const trusted = ranked.filter(({ id }) => !reliability.isSuspect(id, nowMs))
+    return (trusted.length > 0 ? trusted : ranked).filter(({ id }) => {
       const fits = load.at(id).tokens + tokensOf(request) <= kvTokens
       return fits || nowMs - (this._askedMs.get(id) ?? Number.NEGATIVE_INFINITY) >= ROOM_DOUBT_MS
     })
@@ -173,7 +175,6 @@
     const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_PATIENCE * this._prefillMs(request))
     try {
       const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
-      this._note(endpoint, CallOutcome.Success)
       const outcome = reservation === undefined ? 'full' : 'reserved'
       metrics.called('reserve', outcome)
       log.request(request.id, 'reservation', {
@@ -204,11 +205,20 @@
       this._giveBack(request, reservation, prompt)
       throw this._givenUp(request, progress)
     }
+    if (!this._isUsable(reservation.endpoint)) {
+      this._parts.log.request(request.id, 'reserved engine left', { endpoint: reservation.endpoint.id, directory: this._parts.state.directory.revision })
+      this._giveBack(request, reservation, prompt)
+      return true
+    }
     const answer = await this._openDecode(request, progress, reservation, prompt)
     if (answer === undefined) return true
     return await this._pass(request, progress, reservation.endpoint, answer)
   }
 
+  private _isUsable ({ id, service }: EndpointRecord): boolean {
+    return this._parts.state.directory.usable(service).some(record => record.id === id)
+  }
+
   private async _prefill (request: GatewayRequest, progress: PromptProgress, tried: ReadonlySet<string>): Promise<HeldPrompt | undefined> {
     const endpoint = this._ranked(request, EngineStage.Prefill, progress).find(({ id }) => !tried.has(id))
     if (endpoint === undefined || request.signal.aborted) return undefined
@@ -291,7 +301,7 @@
     if (verdict === Verdict.NotRun) {
       answer.body.destroy()
       this._giveBack(request, reservation, prompt)
-      this._note(endpoint, CallOutcome.Failure)
+      this._note(endpoint, CallOutcome.Unreachable)
       progress.avoided.add(endpoint.id)
       return undefined
     }
@@ -366,7 +376,10 @@
   }
 
   private _pool (request: GatewayRequest, stage: EngineStage): readonly EndpointRecord[] {
-    return this._parts.state.directory.usable(request.service.name).filter(record => (record.stage ?? EngineStage.Decode) === stage)
+    const { state, changes, clock } = this._parts
+    const nowMs = clock.nowMs()
+    return state.directory.usable(request.service.name)
+      .filter(record => (record.stage ?? EngineStage.Decode) === stage && !changes.has(record.id, nowMs))
   }
 
   /** Expected time of the prompt at the prefill engine that is free first; 0 when there is none. */
--- a/packages/gateway/src/forwarding/JaymillStageDriver.ts
+++ b/packages/gateway/src/forwarding/JaymillStageDriver.ts
@@ -1,6 +1,6 @@
-import { EngineStage, StageBalance, type PoolUse, type StageChange } from '@jaymill/core'
+import { EngineStage, StageBalance, type EndpointRecord, type EngineTraits, type PoolUse, type StageChange } from '@jaymill/core'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
-import { PREFILL_INITIAL_TOKEN_MS, STAGE_CHECK_MS, STAGE_ORDER_TIMEOUT_MS } from './constants.js'
+import { PREFILL_INITIAL_TOKEN_MS, STAGE_CHECK_MS, STAGE_ORDER_TIMEOUT_MS, STAGE_RUNNING_MS } from './constants.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
 
 /** What the driver works with. */
@@ -36,22 +36,24 @@
   /**
    * Tells that an engine has another stage now.
    *
-   * @param service - Service of the engine.
+   * @param engine - The engine.
    */
-  stageChanged (service: string): void {
+  stageChanged ({ id, service }: EndpointRecord): void {
+    this._parts.changes.end(id)
     this._balance(service).changed(this._parts.clock.nowMs())
   }
 
   private _check (signal: AbortSignal): void {
     const services = this._parts.state.config?.services ?? []
     services.filter(({ engine }) => engine !== undefined).forEach(({ name, engine }) => {
-      const use = this._use(name, engine?.kvTokens ?? 0)
+      if (engine === undefined) return
+      const use = this._use(name, engine.kvTokens)
       const nowMs = this._parts.clock.nowMs()
       const balance = this._balance(name)
       balance.observe(use, nowMs)
       if (!this._parts.leads() || this._ordering) return
       const change = balance.due(use, nowMs)
-      if (change !== undefined) this._order(change, use, signal)
+      if (change !== undefined) this._order(change, use, engine, signal)
     })
   }
 
@@ -63,12 +65,14 @@
     return { engines, kvTokens, ...demand.total(service, clock.nowMs()) }
   }
 
-  private _order ({ engineId, to }: StageChange, { promptRate, waitingTokens }: PoolUse, signal: AbortSignal): void {
-    const { state, engines, hostId, log, clock } = this._parts
+  private _order ({ engineId, to }: StageChange, { promptRate, waitingTokens }: PoolUse, { stageChangeMs }: EngineTraits, signal: AbortSignal): void {
+    const { state, engines, hostId, log, clock, changes, loadChanged } = this._parts
     const endpoint = state.directory.get(engineId)
     if (endpoint === undefined) return
     this._ordering = true
     const startMs = clock.nowMs()
+    changes.begin(engineId, startMs + stageChangeMs + STAGE_RUNNING_MS)
+    loadChanged()
     const limit = AbortSignal.any([signal, AbortSignal.timeout(STAGE_ORDER_TIMEOUT_MS)])
     const tell = (outcome: string): void => log.belief('stage ordered', {
       endpoint: engineId,
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -1,6 +1,6 @@
 import { EventAssembler } from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
-import { endToEnd } from '../callers/JaymillReply.js'
+import { endToEnd, prepareUnframed } from '../callers/JaymillReply.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
 
@@ -55,6 +55,7 @@
   async pass (answer: OpenAnswer, silenceMs: number | undefined, onFirst: () => void): Promise<RelayEnd> {
     const { res } = this._request
     if (!res.headersSent) {
+      prepareUnframed(res, answer.headers)
       res.writeHead(answer.status, this._head(answer))
       res.flushHeaders()
     }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -72,3 +72,6 @@
 
 /** Time of an answer that is longer than its estimate, as a multiple of the expected time. */
 export const LONG_ANSWER = 1.3
+
+/** Time that an engine's running work may take to end before its stage changes, in milliseconds; a long answer. */
+export const STAGE_RUNNING_MS = 8_000
--- a/packages/gateway/src/peers/JaymillBeaconMessage.ts
+++ b/packages/gateway/src/peers/JaymillBeaconMessage.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const text = z.string().max(128)
 const count = z.number()
@@ -19,6 +19,8 @@
   load: z.array(z.tuple([text, count, count])),
   /** Demand of own callers: service, prompt tokens a millisecond, KV tokens waited for. */
   demand: z.array(z.tuple([text, count, count])),
+  /** Engines that the sender has ordered to change their stage. */
+  changing: z.array(text),
   /** IP numbers of hosts heard of lately. */
   hosts: z.array(text),
   /** Whether an answer is wanted at once. */
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -1,6 +1,6 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import type { Clock, EndpointLoad, PromptDemand } from '@jaymill/core'
+import type { Clock, EndpointLoad, PromptDemand, StageChanges } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -16,6 +16,7 @@
   readonly state: FleetState
   readonly load: EndpointLoad
   readonly demand: PromptDemand
+  readonly changes: StageChanges
   readonly clock: Clock
   readonly log: GatewayLog
 }
@@ -120,6 +121,7 @@
     peer.live = false
     this._parts.load.forget(ip)
     this._parts.demand.adopt(ip, [])
+    this._parts.changes.adopt(ip, [])
     this._parts.log.belief('host is silent', { peer: ip, silentMs: Math.round(silentMs) })
   }
 
@@ -137,7 +139,7 @@
 
   private _beacon (ask: boolean): Beacon {
     this._seq += 1
-    const { address, state, load, demand, clock } = this._parts
+    const { address, state, load, demand, changes, clock } = this._parts
     return {
       from: address,
       born: this._born,
@@ -146,6 +148,7 @@
       revision: state.directory.revision,
       load: load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens]),
       demand: demand.own(clock.nowMs()).map(({ service, promptRate, waitingTokens }) => [service, round(promptRate), waitingTokens]),
+      changing: [...changes.own(clock.nowMs())],
       hosts: [...this.live],
       ask,
       leaving: this._leaving
@@ -169,6 +172,7 @@
     Object.assign(peer, { born: beacon.born, seq: beacon.seq, live: true, heardMs: this._parts.clock.nowMs() })
     this._parts.load.adopt(beacon.from, beacon.load.map(([endpointId, requests, tokens]) => ({ endpointId, requests, tokens })))
     this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, waitingTokens]) => ({ service, promptRate, waitingTokens })))
+    this._parts.changes.adopt(beacon.from, beacon.changing)
     beacon.hosts.filter(ip => ip !== this._parts.address).forEach(ip => this._entry(ip))
     if (beacon.ask || !known) this._sendTo(beacon.from, Buffer.from(JSON.stringify(this._beacon(false))))
     this._compare(beacon)
--- a/packages/settings/src/JaymillFieldReference.ts
+++ b/packages/settings/src/JaymillFieldReference.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ValuePath } from './JaymillDocument.js'
 
 /** One field of a document, for the operators' reference. */
--- a/packages/settings/src/JaymillFields.ts
+++ b/packages/settings/src/JaymillFields.ts
@@ -1,5 +1,5 @@
 import { isIP } from 'node:net'
-import { z } from 'zod'
+import * as z from 'zod'
 import { MAX_ID_CHARS } from './constants.js'
 
 /** Unit of a number, as the reference shows it. */
--- a/packages/settings/src/JaymillFleetSchema.ts
+++ b/packages/settings/src/JaymillFleetSchema.ts
@@ -1,5 +1,5 @@
 import { AdapterKind, EndpointState, HostState, PoolRole, RouteClass } from '@jaymill/core'
-import { z } from 'zod'
+import * as z from 'zod'
 import { countField, idField, modelField, rateField, textField, Unit, urlField } from './JaymillFields.js'
 
 const KEY_HASH_PATTERN = /^[0-9a-f]{64}$/
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { countField, idField, rateField, textField, Unit } from './JaymillFields.js'
 import { LogLevel } from './JaymillHostSettings.js'
 
--- a/packages/settings/src/JaymillHostSettings.ts
+++ b/packages/settings/src/JaymillHostSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { HOST_DEFAULTS as DEFAULTS } from './constants.js'
 import { addressField, countField, idField, portField, rateField, textField, Unit, urlField } from './JaymillFields.js'
 
--- a/packages/settings/src/JaymillParse.ts
+++ b/packages/settings/src/JaymillParse.ts
@@ -1,5 +1,5 @@
 import type { FleetConfig, HostList } from '@jaymill/core'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { JsonDocument, type Finding } from './JaymillDocument.js'
 import { checkFleet, checkHostList, checkHostSettings } from './JaymillFleetChecks.js'
 import { fleetConfigSchema, hostListSchema } from './JaymillFleetSchema.js'
--- a/packages/settings/src/JaymillSchemaCheck.ts
+++ b/packages/settings/src/JaymillSchemaCheck.ts
@@ -1,5 +1,5 @@
 import { closest, distance } from 'fastest-levenshtein'
-import { z } from 'zod'
+import * as z from 'zod'
 import { MAX_SUGGESTION_DISTANCE } from './constants.js'
 import type { Finding, ValuePath } from './JaymillDocument.js'
 import { knownKeys } from './JaymillFieldReference.js'
