Work out the proportion of the stages from what arrives and how long it stays

Change: Little's law on arrivals and the time of whole answers, engines that are suspected do not count, two engines of each stage are kept, only a host that hears most others orders, and nothing is taken from decode in the first 12 s.

--- a/packages/core/src/gateway/JaymillStageBalance.ts
+++ b/packages/core/src/gateway/JaymillStageBalance.ts
@@ -1,12 +1,10 @@
-import { BALANCE_GAIN, BALANCE_MIN_USE, BALANCE_PAUSE_MS, BALANCE_SETTLE_MS, BALANCE_SMOOTH_MS, BALANCE_WARM_MS, PREFILL_USE_WEIGHT } from './constants.js'
+import { BALANCE_FIRST_MS, BALANCE_GAIN, BALANCE_MIN_USE, BALANCE_PAUSE_MS, BALANCE_SETTLE_MS, BALANCE_SMOOTH_MS, BALANCE_WARM_MS, PREFILL_USE_WEIGHT, STAGE_MIN_ENGINES } from './constants.js'
 import { EngineStage } from './JaymillEndpointRecord.js'
 
 /** One engine of a split pool, as the balance sees it. */
 export interface BalancedEngine {
   readonly id: string
   readonly stage: EngineStage
-  /** Work under way there, in tokens. */
-  readonly tokens: number
   /** Time for one prompt token, in milliseconds. */
   readonly tokenMs: number
 }
@@ -16,10 +14,12 @@
   readonly engines: readonly BalancedEngine[]
   /** KV cache of one engine, in tokens. */
   readonly kvTokens: number
-  /** KV cache that waiting requests need, in tokens. */
-  readonly waitingTokens: number
   /** Prompt tokens that arrive in a millisecond. */
   readonly promptRate: number
+  /** KV cache that requests which arrive in a millisecond will hold, in tokens. */
+  readonly kvRate: number
+  /** Time for which a request holds KV cache, in milliseconds. */
+  readonly heldMs: number
 }
 
 /** A change of one engine's stage. */
@@ -29,12 +29,14 @@
 }
 
 /**
- * Answer to prompts and answers that need the two stages in another proportion than the pool has: compares how much of
- * each stage is in use over some seconds, and moves one engine when that lowers the larger of both shares clearly.
+ * Answer to prompts and answers that need the two stages in another proportion than the pool has: works out which share of
+ * each stage the demand takes (by Little's law for the KV cache: what arrives times how long it stays, so that full engines
+ * don't hide demand), and moves one engine when that lowers the larger of both shares clearly.
  */
 export class StageBalance {
   private _promptRate = 0
   private _kvTokens = 0
+  private _weight = 0
   private _atMs: number | undefined
   private _sinceMs: number | undefined
   private _changedMs = Number.NEGATIVE_INFINITY
@@ -45,13 +47,13 @@
    * @param use - Use at this moment.
    * @param nowMs - Monotonic time in milliseconds.
    */
-  observe (use: PoolUse, nowMs: number): void {
-    const held = use.engines.filter(({ stage }) => stage === EngineStage.Decode).reduce((sum, { tokens }) => sum + tokens, 0)
-    if (use.promptRate > 0) this._sinceMs ??= nowMs
+  observe ({ promptRate, kvRate, heldMs }: PoolUse, nowMs: number): void {
+    if (promptRate > 0) this._sinceMs ??= nowMs
     if (this._sinceMs === undefined) return
-    const kept = this._atMs === undefined ? 0 : Math.exp((this._atMs - nowMs) / BALANCE_SMOOTH_MS)
-    this._promptRate = this._promptRate * kept + use.promptRate * (1 - kept)
-    this._kvTokens = this._kvTokens * kept + (held + use.waitingTokens) * (1 - kept)
+    const kept = Math.exp(((this._atMs ?? nowMs - BALANCE_FIRST_MS) - nowMs) / BALANCE_SMOOTH_MS)
+    this._promptRate = this._promptRate * kept + promptRate * (1 - kept)
+    this._kvTokens = this._kvTokens * kept + kvRate * heldMs * (1 - kept)
+    this._weight = this._weight * kept + (1 - kept)
     this._atMs = nowMs
   }
 
@@ -65,7 +67,8 @@
     if (warmMs < BALANCE_WARM_MS || nowMs - this._changedMs < BALANCE_PAUSE_MS) return undefined
     const now = this._largerUse(use.engines, use.kvTokens)
     const best = use.engines
-      .filter(({ stage }) => stage === EngineStage.Prefill || warmMs >= BALANCE_SETTLE_MS)
+      .filter(engine => engine.stage === EngineStage.Prefill || warmMs >= BALANCE_SETTLE_MS)
+      .filter(engine => keepsEnough(moved(use.engines, engine)))
       .map(engine => ({ engine, use: this._largerUse(moved(use.engines, engine), use.kvTokens) }))
       .sort((a, b) => a.use - b.use || b.engine.tokenMs - a.engine.tokenMs)[0]
     if (best === undefined || now < BALANCE_MIN_USE || best.use > now * BALANCE_GAIN) return undefined
@@ -86,7 +89,7 @@
     const decode = engines.filter(({ stage }) => stage === EngineStage.Decode)
     const rate = engines.filter(({ stage }) => stage === EngineStage.Prefill).reduce((sum, { tokenMs }) => sum + 1 / tokenMs, 0)
     if (decode.length === 0 || rate === 0) return Number.POSITIVE_INFINITY
-    return Math.max(this._kvTokens / (decode.length * kvTokens), PREFILL_USE_WEIGHT * this._promptRate / rate)
+    return Math.max(this._kvTokens / (decode.length * kvTokens), PREFILL_USE_WEIGHT * this._promptRate / rate) / this._weight
   }
 }
 
@@ -94,6 +97,11 @@
   return engines.map(engine => engine.id === id ? { ...engine, stage: otherStage(engine.stage) } : engine)
 }
 
+function keepsEnough (engines: readonly BalancedEngine[]): boolean {
+  const decode = engines.filter(({ stage }) => stage === EngineStage.Decode).length
+  return Math.min(decode, engines.length - decode) >= Math.min(STAGE_MIN_ENGINES, Math.floor(engines.length / 2))
+}
+
 function otherStage (stage: EngineStage): EngineStage {
   return stage === EngineStage.Prefill ? EngineStage.Decode : EngineStage.Prefill
 }
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -52,11 +52,23 @@
 /** Time over which a host averages the prompts of its callers, in milliseconds. */
 export const DEMAND_SMOOTH_MS = 2_000
 
-/** Time with traffic before an engine may be taken from decode, in milliseconds: the use of KV cache shows only after some answers. */
-export const BALANCE_SETTLE_MS = 12_000
-
 /** Shortest time after which a refused caller is asked to come back, in milliseconds; about half an answer. */
 export const COME_BACK_MIN_MS = 1_500
 
 /** Longest time after which a refused caller is asked to come back, in milliseconds; callers wait up to a third of their time. */
 export const COME_BACK_MAX_MS = 4_000
+
+/** Time for which a request holds KV cache before there is a measurement, in milliseconds; an answer of some hundred tokens. */
+export const HELD_INITIAL_MS = 3_500
+
+/** Weight of the newest measurement of that time. */
+export const HELD_WEIGHT = 0.1
+
+/** Weight of the first look at the use of the stages, as the time that it stands for, in milliseconds. */
+export const BALANCE_FIRST_MS = 500
+
+/** Time with traffic before an engine may be taken from decode, in milliseconds: the first answers to end are the short ones. */
+export const BALANCE_SETTLE_MS = 12_000
+
+/** Engines of each stage that a change leaves: with a single one, its loss would stop the pool. */
+export const STAGE_MIN_ENGINES = 2
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -12,7 +12,7 @@
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import type { KvSource, PromptFacts } from '../ports/JaymillWireDialect.js'
 import {
-  ANSWER_MARGIN, DECODE_TOKEN_MS, HELD_INITIAL_MS, HELD_WEIGHT, LONG_ANSWER, RETURNED_SHARE, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
+  ANSWER_MARGIN, ANSWER_WEIGHT, DECODE_TOKEN_MS, LONG_ANSWER, RETURNED_SHARE, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
   FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
@@ -48,8 +48,6 @@
 export class PromptForwarder extends Forwarder {
   private readonly _ranking: EndpointRanking
   private readonly _queues = new Map<string, RoomQueue>()
-  /** Time for which a request holds room, in milliseconds; mean of recent ones. */
-  private _heldMs = HELD_INITIAL_MS
   /** Estimate of an answer, in tokens; mean of recent ones. */
   private _answerTokens = 0
   private readonly _askedMs = new Map<string, number>()
@@ -64,29 +62,26 @@
   }
 
   /** {@inheritDoc Forwarder.durationMs} */
-  durationMs ({ facts }: GatewayRequest): number {
+  durationMs ({ facts, service }: GatewayRequest): number {
     const expected = facts.prompt?.expectedAnswerTokens ?? 0
-    return this._heldMs * LONG_ANSWER * expected / Math.max(1, this._answerTokens)
+    return this._parts.demand.heldMs(service.name) * LONG_ANSWER * expected / Math.max(1, this._answerTokens)
   }
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
     const { budget, demand, clock } = this._parts
     budget.counted(request.service.name, clock.nowMs())
-    demand.add(request.service.name, promptTokensOf(request), clock.nowMs())
+    demand.add(request.service.name, promptTokensOf(request), tokensOf(request), clock.nowMs())
     await this._round(request, { relay: new StreamRelay(request), runs: 0, rounds: 0, prefills: 0, avoided: new Set() })
   }
 
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
     progress.rounds += 1
     const held = new AbortController()
-    let sinceMs = 0
     try {
       const reservation = await this._reserve(request, progress)
-      sinceMs = this._parts.clock.nowMs()
       this._trackLoad(reservation.endpoint, tokensOf(request), held.signal)
       const again = await this._run(request, progress, reservation)
-      this._noteHeld(request, this._parts.clock.nowMs() - sinceMs)
       if (!again) return
     } finally {
       held.abort()
@@ -97,10 +92,10 @@
     await this._round(request, progress)
   }
 
-  private _noteHeld ({ facts }: GatewayRequest, ms: number): void {
+  private _noteHeld ({ facts, service }: GatewayRequest, ms: number): void {
     const expected = facts.prompt?.expectedAnswerTokens ?? 0
-    this._heldMs += (ms - this._heldMs) * HELD_WEIGHT
-    this._answerTokens += (expected - this._answerTokens) * (this._answerTokens === 0 ? 1 : HELD_WEIGHT)
+    this._parts.demand.noteHeld(service.name, ms)
+    this._answerTokens += (expected - this._answerTokens) * (this._answerTokens === 0 ? 1 : ANSWER_WEIGHT)
   }
 
   private _mayGoOn (request: GatewayRequest, { runs, rounds }: PromptProgress): boolean {
@@ -143,7 +138,7 @@
   private _backlogMs (request: GatewayRequest): number {
     const { demand, clock } = this._parts
     const capacity = this._pool(request, EngineStage.Decode).length * (request.service.engine?.kvTokens ?? 0)
-    return capacity === 0 ? 0 : demand.total(request.service.name, clock.nowMs()).waitingTokens / capacity * this._heldMs
+    return capacity === 0 ? 0 : demand.total(request.service.name, clock.nowMs()).waitingTokens / capacity * demand.heldMs(request.service.name)
   }
 
   /** Engines that seem to have room, and those that were not asked for a while. */
@@ -324,7 +319,8 @@
 
   /** @returns Whether the stream has to go on elsewhere. */
   private async _pass (request: GatewayRequest, progress: PromptProgress, endpoint: EndpointRecord, answer: OpenAnswer): Promise<boolean> {
-    const { log, metrics } = this._parts
+    const { log, metrics, clock } = this._parts
+    const startMs = clock.nowMs()
     const silenceMs = request.route.resumable ? STREAM_SILENCE_MS : undefined
     const end = await progress.relay.pass(answer, silenceMs, () => {
       metrics.firstEvent(this._sinceMs(request))
@@ -339,7 +335,10 @@
       ms: this._sinceMs(request),
       config: request.version
     })
-    if (end === RelayEnd.Complete) metrics.answered(request.route.kind, answer.status, this._sinceMs(request))
+    if (end === RelayEnd.Complete) {
+      metrics.answered(request.route.kind, answer.status, this._sinceMs(request))
+      this._noteHeld(request, clock.nowMs() - startMs)
+    }
     if (end === RelayEnd.Broken) {
       this._note(endpoint, CallOutcome.Failure)
       progress.avoided.add(endpoint.id)
--- a/packages/gateway/src/forwarding/JaymillStageDriver.ts
+++ b/packages/gateway/src/forwarding/JaymillStageDriver.ts
@@ -58,14 +58,17 @@
   }
 
   private _use (service: string, kvTokens: number): PoolUse {
-    const { state, load, pace, demand, clock } = this._parts
-    const engines = state.directory.usable(service).map(({ id, stage }) => ({
-      id, stage: stage ?? EngineStage.Decode, tokens: load.at(id).tokens, tokenMs: pace.unitMs(id, PREFILL_INITIAL_TOKEN_MS)
+    const { state, pace, demand, clock, reliability } = this._parts
+    const nowMs = clock.nowMs()
+    const reachable = state.directory.usable(service).filter(({ id }) => !reliability.isSuspect(id, nowMs))
+    const engines = reachable.map(({ id, stage }) => ({
+      id, stage: stage ?? EngineStage.Decode, tokenMs: pace.unitMs(id, PREFILL_INITIAL_TOKEN_MS)
     }))
-    return { engines, kvTokens, ...demand.total(service, clock.nowMs()) }
+    const { promptRate, kvRate } = demand.total(service, nowMs)
+    return { engines, kvTokens, promptRate, kvRate, heldMs: demand.heldMs(service) }
   }
 
-  private _order ({ engineId, to }: StageChange, { promptRate, waitingTokens }: PoolUse, { stageChangeMs }: EngineTraits, signal: AbortSignal): void {
+  private _order ({ engineId, to }: StageChange, { promptRate, kvRate, heldMs }: PoolUse, { stageChangeMs }: EngineTraits, signal: AbortSignal): void {
     const { state, engines, hostId, log, clock, changes, loadChanged } = this._parts
     const endpoint = state.directory.get(engineId)
     if (endpoint === undefined) return
@@ -79,7 +82,7 @@
       to,
       outcome,
       promptRate: Math.round(promptRate * 10) / 10,
-      waitingTokens,
+
       directory: state.directory.revision,
       ms: Math.round(clock.nowMs() - startMs)
     })
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -3,7 +3,7 @@
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
 import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
-import { HELD_INITIAL_MS, MAX_REFUSED_TRIES, MIN_CALL_MS, STREAM_SILENCE_MS } from './constants.js'
+import { MAX_REFUSED_TRIES, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_SILENCE_MS } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
@@ -30,7 +30,7 @@
 
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs (): number {
-    return HELD_INITIAL_MS
+    return PLAIN_STREAM_MS
   }
 
   /** {@inheritDoc Forwarder.forward} */
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -58,12 +58,6 @@
 /** Room reserved for an answer, relative to its estimate. */
 export const ANSWER_MARGIN = 1.25
 
-/** Time for which a request holds room before there is a measurement, in milliseconds; an answer of some hundred tokens. */
-export const HELD_INITIAL_MS = 3_500
-
-/** Weight of the newest measurement of that time. */
-export const HELD_WEIGHT = 0.1
-
 /** Share of the route's time limit below which a caller's deadline shows that it has tried before. */
 export const RETURNED_SHARE = 0.97
 
@@ -75,3 +69,9 @@
 
 /** Time that an engine's running work may take to end before its stage changes, in milliseconds; a long answer. */
 export const STAGE_RUNNING_MS = 8_000
+
+/** Weight of the newest estimate in the mean length of answers. */
+export const ANSWER_WEIGHT = 0.1
+
+/** Time of a stream of a plain service, in milliseconds. */
+export const PLAIN_STREAM_MS = 4_000
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -59,9 +59,10 @@
     return [...this._peers].filter(([, peer]) => peer.live).map(([ip]) => ip)
   }
 
-  /** Whether this host has the lowest address of those that hear each other. */
+  /** Whether this host has the lowest address of those that hear each other, and these are most of the hosts. */
   get leads (): boolean {
-    return !this._leaving && this.live.every(ip => this._parts.address < ip)
+    const live = this.live
+    return !this._leaving && 2 * (live.length + 1) > this.hosts && live.every(ip => this._parts.address < ip)
   }
 
   /** Hosts that may be serving, this one included. */
@@ -147,7 +148,7 @@
       config: state.version,
       revision: state.directory.revision,
       load: load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens]),
-      demand: demand.own(clock.nowMs()).map(({ service, promptRate, waitingTokens }) => [service, round(promptRate), waitingTokens]),
+      demand: demand.own(clock.nowMs()).map(({ service, promptRate, kvRate, waitingTokens }) => [service, round(promptRate), round(kvRate), waitingTokens]),
       changing: [...changes.own(clock.nowMs())],
       hosts: [...this.live],
       ask,
@@ -171,7 +172,7 @@
     if (!peer.live) this._parts.log.belief('host heard', { peer: beacon.from, config: beacon.config, revision: beacon.revision })
     Object.assign(peer, { born: beacon.born, seq: beacon.seq, live: true, heardMs: this._parts.clock.nowMs() })
     this._parts.load.adopt(beacon.from, beacon.load.map(([endpointId, requests, tokens]) => ({ endpointId, requests, tokens })))
-    this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, waitingTokens]) => ({ service, promptRate, waitingTokens })))
+    this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, kvRate, waitingTokens]) => ({ service, promptRate, kvRate, waitingTokens })))
     this._parts.changes.adopt(beacon.from, beacon.changing)
     beacon.hosts.filter(ip => ip !== this._parts.address).forEach(ip => this._entry(ip))
     if (beacon.ask || !known) this._sendTo(beacon.from, Buffer.from(JSON.stringify(this._beacon(false))))
