--- a/packages/cli/src/JaymillProgram.ts
+++ b/packages/cli/src/JaymillProgram.ts
@@ -2,12 +2,13 @@
 import { runBurn } from './commands/JaymillBurnCommand.js'
 import { runDemo } from './commands/JaymillDemoCommand.js'
 import { runDrain } from './commands/JaymillDrainCommand.js'
+import { runExplainLog } from './commands/JaymillExplainLogCommand.js'
 import { runCheck, runDiff } from './commands/JaymillFileCommands.js'
 import { runQuarantine } from './commands/JaymillQuarantineCommand.js'
 import { runEndpoints, runExplain, runRequests, runStatus } from './commands/JaymillHostCommands.js'
 import { CliError } from './JaymillCliError.js'
 import { ExitCode } from './JaymillExitCode.js'
-import type { Flags } from './JaymillFlags.js'
+import { textFlag, type Flags } from './JaymillFlags.js'
 import type { Terminal } from './JaymillTerminal.js'
 
 /** Flags that take no value. */
@@ -88,7 +89,11 @@
     .option('--state', 'running or ended').option('--route', 'Only this route').option('--account', 'Only this account')
     .option('--limit', 'Most requests of a host').action((flags: Flags) => runRequests(flags, terminal))
   admin(prog.command('explain <request_id>').describe('Show each decision about a request, with its reason.'))
-    .action((id: string, flags: Flags) => runExplain(id, flags, terminal))
+    .option('--log', 'Read log files instead, separated by commas')
+    .action((id: string, flags: Flags) => {
+      const files = textFlag(flags, 'log')
+      return files === undefined ? runExplain(id, flags, terminal) : runExplainLog(id, files, flags, terminal)
+    })
   admin(prog.command('drain').describe('Stop one host gracefully.')).option('--wait', 'Wait until it is gone')
     .action((flags: Flags) => runDrain(flags, terminal))
   admin(prog.command('burn').describe('Show the burn of the service level per route and account.'))
--- a/packages/core/src/__tests__/unit/JaymillAdmission.test.ts
+++ b/packages/core/src/__tests__/unit/JaymillAdmission.test.ts
@@ -47,6 +47,25 @@
     expect(served.filter(name => name === RouteClass.Summary)).toHaveLength(4)
   })
 
+  test('an account that comes late gets its share from then on, not the time before it came', () => {
+    const settle: Array<(queue: AdmissionQueue<AdmissionItem>, next: AdmissionItem) => void> = [
+      (queue, next) => queue.started(next, 0), (queue, next) => queue.drop(next)
+    ]
+    settle.forEach(done => {
+      const queue = new AdmissionQueue<AdmissionItem>()
+      const take = (): string | undefined => {
+        const next = queue.take()
+        if (next !== undefined) done(queue, next)
+        return next?.accountId
+      }
+      Array.from({ length: 40 }, (_, i) => queue.offer(item(`early-${i}`, { accountId: 'early' }), 0))
+      Array.from({ length: 20 }, () => take())
+      Array.from({ length: 20 }, (_, i) => queue.offer(item(`late-${i}`, { accountId: 'late' }), 0))
+      const served = Array.from({ length: 20 }, () => take())
+      expect(served.filter(id => id === 'late').length).toBe(10)
+    })
+  })
+
   test('refuses at once what would wait past its target, and later what has', () => {
     const queue = new AdmissionQueue<AdmissionItem>()
     Array.from({ length: 50 }, (_, index) => queue.offer(item(`r${index}`), 0))
--- a/packages/core/src/gateway/JaymillEndpointDirectory.ts
+++ b/packages/core/src/gateway/JaymillEndpointDirectory.ts
@@ -53,7 +53,6 @@
    * @returns What has changed.
    */
   adoptAll (records: readonly EndpointRecord[], revision: number, nowMs: number): readonly DirectoryNote[] {
-    if (revision < this._revision) return []
     const listed = new Set(records.map(({ id }) => id))
     const gone = [...this._entries.keys()].filter(id => !listed.has(id)).map(id => ({ id }))
     return this.apply([...records.map(record => ({ id: record.id, record })), ...gone], revision, nowMs)
