--- a/packages/gateway/src/ports/JaymillEngineControl.ts
+++ b/packages/gateway/src/ports/JaymillEngineControl.ts
@@ -64,14 +64,6 @@
    */
   abstract prefillResult (body: Buffer): PrefillResult | undefined
 
-  /**
-   * @param endpoint - An endpoint.
-   * @param healthPath - Path of its health check.
-   * @param signal - Ends the call.
-   * @returns Whether it says that it is healthy.
-   */
-  abstract isHealthy (endpoint: EndpointRecord, healthPath: string, signal: AbortSignal): Promise<boolean>
-
   /**
    * Orders an engine to do the work of another stage.
    *
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -38,13 +38,10 @@
     .meta({ description: 'Hosts to start from; some may be down.' }),
   bounds: z.strictObject({
     graceSeconds: rateField(Unit.Seconds, 'Time between the request to stop and the end of the process.'),
-    drainMs: countField(0, Unit.Milliseconds, 'Time after which a leaving endpoint gets no more work.'),
-    configMs: countField(0, Unit.Milliseconds, 'Time within which a configuration is in force.'),
     retryRatio: rateField(Unit.None, 'Retries of the fleet for each request.'),
     retryMinimum: countField(0, Unit.Requests, 'Retries of the fleet in a window beyond the ratio.'),
     retryWindowSeconds: rateField(Unit.Seconds, 'Window of the retry budget.')
   }).meta({ description: 'Bounds that the fleet keeps.' }),
-  memoryMb: countField(1, Unit.None, 'Memory of the process, in MB.'),
   log: z.strictObject({
     level: z.enum(LogLevel).default(LogLevel.Info).meta({ description: 'Least severe level that is logged.' })
   }).prefault({}).meta({ description: 'Logging.' })
