--- a/packages/settings/src/__tests__/unit/ConfigurationPage.test.ts
+++ b/packages/settings/src/__tests__/unit/ConfigurationPage.test.ts
@@ -2,12 +2,13 @@
 import { describe, expect, test } from 'vitest'
 import { fieldReference } from '../../JaymillFieldReference.js'
 import { fleetConfigSchema, hostListSchema } from '../../JaymillFleetSchema.js'
+import { gatewaySettingsSchema } from '../../JaymillGatewaySettings.js'
 import { hostSettingsSchema } from '../../JaymillHostSettings.js'
 import { parseFleetConfig, parseHostList, parseHostSettings } from '../../JaymillParse.js'
 
 const doc = (name: string): string => readFileSync(new URL(`../../../../../docs/${name}`, import.meta.url), 'utf8')
 const rows = doc('CONFIGURATION.md').split('\n').filter(line => line.startsWith('| `'))
-const schemas = [hostSettingsSchema, fleetConfigSchema, hostListSchema]
+const schemas = [hostSettingsSchema, fleetConfigSchema, hostListSchema, gatewaySettingsSchema]
 
 describe('the configuration page', () => {
   test('has a row with unit, default and meaning for each field, and no other rows', () => {
