--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import {
-  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, StageChanges, type DirectoryNote
+  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, RouteKind, StageChanges, type DirectoryNote
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
@@ -151,7 +151,7 @@
     const prompt = new PromptForwarder(this._parts)
     return ({ route, service, facts }) => {
       if (service.engine !== undefined && facts.prompt !== undefined) return prompt
-      return route.kind === 'streaming' ? stream : plain
+      return route.kind === RouteKind.Streaming ? stream : plain
     }
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,6 @@
 import {
-  CallOutcome, EngineStage, ErrorKind, isIdempotent, RanState, RequestError, ExpectedTimeRanking, type EndpointRanking, type EndpointRecord, type Outstanding
+  CallOutcome, EngineStage, ErrorKind, ExpectedTimeRanking, isIdempotent, RanState, RequestError, type EndpointRanking, type EndpointRecord,
+  type Outstanding
 } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -10,14 +11,16 @@
 import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
-import type { KvSource, PromptFacts } from '../ports/JaymillWireDialect.js'
+import type { KvSource } from '../ports/JaymillWireDialect.js'
 import {
-  ANSWER_MARGIN, ANSWER_WEIGHT, DECODE_TOKEN_MS, LONG_ANSWER, RETURNED_SHARE, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
-  FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
+  ANSWER_WEIGHT, DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, LONG_ANSWER, MAX_PROMPT_ROUNDS, MIN_CALL_MS,
+  PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
+  RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, RETURNED_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingParts } from './JaymillForwardingParts.js'
+import { promptTokensOf, tokensOf } from './JaymillPromptSize.js'
 import { RoomQueue } from './JaymillRoomQueue.js'
 import { RelayEnd, StreamRelay } from './JaymillStreamRelay.js'
 
@@ -393,17 +396,3 @@
     return FIRST_EVENT_FIXED_MS + this._prefillMs(request)
   }
 }
-
-function promptTokensOf ({ facts }: GatewayRequest): number {
-  return facts.prompt?.promptTokens ?? 0
-}
-
-function tokensOf ({ facts }: GatewayRequest): number {
-  return promptTokensOf({ facts } as GatewayRequest) + reservedAnswerTokens(facts.prompt)
-}
-
-/** Room for an answer somewhat longer than its estimate; an engine lets a longer one grow while it has memory. */
-function reservedAnswerTokens (prompt: PromptFacts | undefined): number {
-  if (prompt === undefined) return 0
-  return Math.min(prompt.maxAnswerTokens, Math.ceil(prompt.expectedAnswerTokens * ANSWER_MARGIN))
-}
