Give choice, ranking, bounded bodies and limits one place each

Found by reading the change again: three forwarders had the same constructor, two the same choice and expected time; two loops read a bounded stream; renew was forget under another name; the limits of a configuration were applied to connections when readiness was asked, so a host that nobody asked kept Node's header timeout of a minute. Change: the base class holds ranking, choice and the expected time of plain services; one reader of bounded streams; limits are applied when a configuration comes into force. Ruled out: sharing with the daemon's body reader, which also counts against a budget of held bytes, and the other listed pairs, which share a shape and not a meaning.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -58,7 +58,6 @@
   private readonly _stages: StageDriver
   private readonly _metrics = new GatewayMetrics()
   private _phase = Phase.Starting
-  private _adoptedVersion = 0
 
   /**
    * @param settings - Checked settings.
@@ -87,6 +86,7 @@
     const { clock, log } = this._adapters
     const signal = this._abort.signal
     log.belief('started', { zone: host.zone, address: host.address, pid: process.pid })
+    this._state.onConfig(config => this._ingress.adopt(config), signal)
     this._state.onDirectory(note => this._directoryChanged(note), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('follower ended', { reason: err.message }))
     const documents = new DocumentExchange({ listen: listen.documents, state: this._state, follower: this._follower, clock, log })
@@ -157,10 +157,6 @@
 
   private _isReady (): boolean {
     const { config, directory } = this._state
-    if (config !== undefined && config.version !== this._adoptedVersion) {
-      this._adoptedVersion = config.version
-      this._ingress.adopt(config)
-    }
     if (this._phase === Phase.Starting && config !== undefined && directory.revision > 0) {
       this._phase = Phase.Ready
       this._adapters.log.belief('ready', { config: config.version, endpoints: directory.records().length, revision: directory.revision })
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -3,6 +3,7 @@
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingParts } from '../forwarding/JaymillForwardingParts.js'
+import { readBounded } from '../JaymillBoundedBytes.js'
 import { CONNECTION_CHECK_MS, NOT_READY_RETRY_MS, PARSER_HEADER_BYTES } from './constants.js'
 import { RequestEnd, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { listenOn } from './JaymillListener.js'
@@ -142,13 +143,7 @@
 async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer | null> {
   const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
   if (!hasBody) return null
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) throw new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size > maxBytes) throw new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks, size)
+  const tooLarge = (): RequestError => new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
+  if (Number(req.headers['content-length'] ?? 0) > maxBytes) throw tooLarge()
+  return await readBounded(req, maxBytes, tooLarge)
 }
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Client, Pool, type Dispatcher } from 'undici'
 import type { EndpointRecord } from '@jaymill/core'
+import { readBounded } from '../JaymillBoundedBytes.js'
 import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, POOL_CONNECTIONS } from './constants.js'
 import { ExchangeError, ExchangeFailure } from './JaymillExchangeError.js'
 import { AnswerHandler, type OpenAnswer, type ResetState, type WholeAnswer } from './JaymillOpenAnswer.js'
@@ -57,7 +58,8 @@
   }
 
   /**
-   * Closes kept connections to an endpoint that is no longer published; calls that are under way go on.
+   * Closes kept connections to an endpoint that is no longer published, or that has sent bytes which belong to no request;
+   * calls that are under way go on, and the next one makes a new connection.
    *
    * @param endpoint - The endpoint.
    */
@@ -67,15 +69,6 @@
     pool?.close().catch(() => pool.destroy())
   }
 
-  /**
-   * Drops kept connections to an endpoint that has shown no sign of life, so that the next call makes a new one.
-   *
-   * @param endpoint - The endpoint.
-   */
-  renew (endpoint: EndpointRecord): void {
-    this.forget(endpoint)
-  }
-
   private _client ({ address }: EndpointRecord): Client {
     return new Client(`http://${address}`, this._options())
   }
@@ -150,12 +143,6 @@
  * @throws ExchangeError when it breaks off or is larger.
  */
 export async function readWhole (body: OpenAnswer['body'], maxBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size > maxBytes) throw new ExchangeError(ExchangeFailure.Malformed, `the answer exceeds ${maxBytes} bytes`)
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks, size)
+  const tooLarge = (): ExchangeError => new ExchangeError(ExchangeFailure.Malformed, `the answer exceeds ${maxBytes} bytes`)
+  return await readBounded(body, maxBytes, tooLarge)
 }
--- a/packages/gateway/src/fleet/JaymillFleetState.ts
+++ b/packages/gateway/src/fleet/JaymillFleetState.ts
@@ -11,12 +11,16 @@
 /** Called after an endpoint was added, changed or removed. */
 export type DirectoryListener = (note: DirectoryNote) => void
 
+/** Called after a configuration has come into force. */
+export type ConfigListener = (config: GatewayConfig) => void
+
 /** What this host knows of configuration and endpoints. A configuration is only replaced by one of a higher version. */
 export class FleetState {
   private readonly _clock: Clock
   private readonly _log: GatewayLog
   private readonly _directory = new EndpointDirectory()
   private readonly _listeners: DirectoryListener[] = []
+  private readonly _configListeners: ConfigListener[] = []
   private _config: GatewayConfig | undefined
   private _table: RouteTable | undefined
 
@@ -58,6 +62,15 @@
     signal.addEventListener('abort', () => this._listeners.splice(this._listeners.indexOf(listener), 1), { once: true })
   }
 
+  /**
+   * @param listener - Called after each change of the configuration.
+   * @param signal - Ends the calls.
+   */
+  onConfig (listener: ConfigListener, signal: AbortSignal): void {
+    this._configListeners.push(listener)
+    signal.addEventListener('abort', () => this._configListeners.splice(this._configListeners.indexOf(listener), 1), { once: true })
+  }
+
   /**
    * Takes in the whole state.
    *
@@ -103,6 +116,7 @@
     this._config = config
     this._table = new RouteTable(config)
     this._log.belief('configuration in force', { version: config.version, before, routes: config.routes.length, origin })
+    this._configListeners.forEach(listener => listener(config))
   }
 
   private _tell (notes: readonly DirectoryNote[], origin: Origin): void {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,4 +1,4 @@
-import { CallOutcome, type Candidate, type EndpointRecord, ErrorKind, isIdempotent, type Outstanding, RequestError } from '@jaymill/core'
+import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type Outstanding, RequestError } from '@jaymill/core'
 import { RequestEnd, type GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { forwardedHeaders } from '../callers/JaymillReply.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
@@ -9,12 +9,15 @@
 /** Serves requests of one kind. */
 export abstract class Forwarder {
   protected readonly _parts: ForwardingParts
+  protected readonly _ranking: EndpointRanking
 
   /**
    * @param parts - State of the host.
+   * @param ranking - Order of endpoints.
    */
-  constructor (parts: ForwardingParts) {
+  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
     this._parts = parts
+    this._ranking = ranking
   }
 
   /**
@@ -40,12 +43,6 @@
     }
   }
 
-  /** Expected time at a plain service: a round for each full set of slots before it, and crowding within a round. */
-  protected _sharedSlotsMs ({ id, slots }: EndpointRecord, { requests }: Outstanding): number {
-    const unitMs = this._parts.pace.unitMs(id, PLAIN_INITIAL_MS)
-    return unitMs * (1 + Math.floor(requests / Math.max(1, slots)) + requests / Math.max(1, slots))
-  }
-
   protected _leftMs ({ deadlineMs }: GatewayRequest): number {
     return Math.max(0, Math.floor(deadlineMs - this._parts.clock.nowMs()))
   }
@@ -56,8 +53,18 @@
    */
   abstract durationMs (request: GatewayRequest): number
 
-  /** Expected time of a request at an endpoint with other work. */
-  protected abstract _expectedMs (record: EndpointRecord, work: Outstanding, tokens: number): number
+  /** Expected time of a request: a round for each full set of slots before it, and crowding within a round. */
+  protected _expectedMs ({ id, slots }: EndpointRecord, { requests }: Outstanding, _tokens: number): number {
+    const unitMs = this._parts.pace.unitMs(id, PLAIN_INITIAL_MS)
+    return unitMs * (1 + Math.floor(requests / Math.max(1, slots)) + requests / Math.max(1, slots))
+  }
+
+  /** The best endpoint of a plain service that has not been tried. */
+  protected _choose (request: GatewayRequest, triedIds: readonly string[]): EndpointRecord | undefined {
+    const { state, zone, random } = this._parts
+    const untried = state.directory.usable(request.service.name).filter(({ id }) => !triedIds.includes(id))
+    return this._ranking.rank(this._candidates(untried, 0), zone, random)[0]
+  }
 
   protected _candidates (records: readonly EndpointRecord[], tokens: number): readonly Candidate[] {
     const { load, reliability, clock } = this._parts
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, ExpectedTimeRanking, type EndpointRanking, type EndpointRecord, type Outstanding
+  CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord
 } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -10,7 +10,6 @@
 import { MAX_REFUSED_TRIES, MIN_CALL_MS, PLAIN_DURATION_TARGETS } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
-import type { ForwardingParts } from './JaymillForwardingParts.js'
 
 /** What became of one call. */
 interface Attempt {
@@ -29,17 +28,6 @@
 
 /** Serves requests of plain services: the answer is held until it is whole, so that a broken one can be repeated where that is allowed. */
 export class PlainForwarder extends Forwarder {
-  private readonly _ranking: EndpointRanking
-
-  /**
-   * @param parts - State of the host.
-   * @param ranking - Order of endpoints.
-   */
-  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
-    super(parts)
-    this._ranking = ranking
-  }
-
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs ({ route }: GatewayRequest): number {
     return PLAIN_DURATION_TARGETS * route.targetLatencyMs
@@ -52,7 +40,7 @@
   }
 
   private async _next (request: GatewayRequest, progress: Progress): Promise<void> {
-    const endpoint = this._mayTry(request, progress) ? this._choose(request, progress) : undefined
+    const endpoint = this._mayTry(request, progress) ? this._choose(request, progress.tried.map(({ endpoint }) => endpoint.id)) : undefined
     if (endpoint === undefined) {
       this._finish(request, progress)
       return
@@ -62,10 +50,6 @@
     else await this._next(request, { tried: [...progress.tried, attempt] })
   }
 
-  protected override _expectedMs (record: EndpointRecord, work: Outstanding): number {
-    return this._sharedSlotsMs(record, work)
-  }
-
   private _mayTry (request: GatewayRequest, { tried }: Progress): boolean {
     if (request.signal.aborted || this._leftMs(request) < MIN_CALL_MS) return false
     const runs = tried.filter(({ verdict }) => verdict !== Verdict.NotRun).length
@@ -74,12 +58,6 @@
     return tried.length === 0 || this._spendRetry(request)
   }
 
-  private _choose (request: GatewayRequest, { tried }: Progress): EndpointRecord | undefined {
-    const { state, zone, random } = this._parts
-    const untried = state.directory.usable(request.service.name).filter(({ id }) => tried.every(({ endpoint }) => endpoint.id !== id))
-    return this._ranking.rank(this._candidates(untried, 0), zone, random)[0]
-  }
-
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { tried }: Progress): Promise<Attempt> {
     const { calls, clock, log, pace, metrics, load, state } = this._parts
     const work = load.at(endpoint.id)
@@ -109,7 +87,7 @@
   private _judge (request: GatewayRequest, endpoint: EndpointRecord, answer: WholeAnswer): Attempt {
     const verdict = verdictOf(this._parts.dialect, request.id, answer.status, answer.headers)
     this._note(endpoint, verdict === Verdict.Success ? CallOutcome.Success : CallOutcome.Failure)
-    if (verdict === Verdict.Unusable) this._parts.calls.renew(endpoint)
+    if (verdict === Verdict.Unusable) this._parts.calls.forget(endpoint)
     return { endpoint, verdict, answer }
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  CallOutcome, EngineStage, ErrorKind, ExpectedTimeRanking, isIdempotent, RanState, RequestError, type EndpointRanking, type EndpointRecord,
+  CallOutcome, EngineStage, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord,
   type Outstanding
 } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
@@ -19,7 +19,6 @@
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
-import type { ForwardingParts } from './JaymillForwardingParts.js'
 import { promptTokensOf, tokensOf } from './JaymillPromptSize.js'
 import { RoomQueue } from './JaymillRoomQueue.js'
 import { RelayEnd, StreamRelay } from './JaymillStreamRelay.js'
@@ -49,21 +48,11 @@
  * runs the request where room is reserved. What was held for a request is given back however the request ends.
  */
 export class PromptForwarder extends Forwarder {
-  private readonly _ranking: EndpointRanking
   private readonly _queues = new Map<string, RoomQueue>()
   /** Estimate of an answer, in tokens; mean of recent ones. */
   private _answerTokens = 0
   private readonly _askedMs = new Map<string, number>()
 
-  /**
-   * @param parts - State of the host.
-   * @param ranking - Order of engines of either stage.
-   */
-  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
-    super(parts)
-    this._ranking = ranking
-  }
-
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs ({ facts, service }: GatewayRequest): number {
     const expected = facts.prompt?.expectedAnswerTokens ?? 0
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,4 +1,4 @@
-import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, ExpectedTimeRanking, type EndpointRanking, type EndpointRecord, type Outstanding } from '@jaymill/core'
+import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
@@ -6,7 +6,6 @@
 import { MAX_REFUSED_TRIES, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_SILENCE_MS } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
-import type { ForwardingParts } from './JaymillForwardingParts.js'
 import { RelayEnd, StreamRelay } from './JaymillStreamRelay.js'
 
 interface StreamProgress {
@@ -17,17 +16,6 @@
 
 /** Serves streams of services whose endpoints are no engines of a split pool. */
 export class StreamForwarder extends Forwarder {
-  private readonly _ranking: EndpointRanking
-
-  /**
-   * @param parts - State of the host.
-   * @param ranking - Order of endpoints.
-   */
-  constructor (parts: ForwardingParts, ranking: EndpointRanking = new ExpectedTimeRanking()) {
-    super(parts)
-    this._ranking = ranking
-  }
-
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs (): number {
     return PLAIN_STREAM_MS
@@ -40,7 +28,7 @@
   }
 
   private async _next (request: GatewayRequest, progress: StreamProgress): Promise<void> {
-    const endpoint = this._mayTry(request, progress) ? this._choose(request, progress) : undefined
+    const endpoint = this._mayTry(request, progress) ? this._choose(request, progress.tried) : undefined
     if (endpoint === undefined) throw this._givenUp(request, progress)
     const done = new AbortController()
     this._trackLoad(endpoint, 0, done.signal)
@@ -75,22 +63,12 @@
     return end
   }
 
-  protected override _expectedMs (record: EndpointRecord, work: Outstanding): number {
-    return this._sharedSlotsMs(record, work)
-  }
-
   private _mayTry (request: GatewayRequest, { tried, runs }: StreamProgress): boolean {
     if (request.signal.aborted || this._leftMs(request) < MIN_CALL_MS || tried.length >= MAX_REFUSED_TRIES) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
     return runs < request.route.maxAttempts && (tried.length === 0 || this._spendRetry(request))
   }
 
-  private _choose (request: GatewayRequest, { tried }: StreamProgress): EndpointRecord | undefined {
-    const { state, zone, random } = this._parts
-    const untried = state.directory.usable(request.service.name).filter(({ id }) => !tried.includes(id))
-    return this._ranking.rank(this._candidates(untried, 0), zone, random)[0]
-  }
-
   private _givenUp (request: GatewayRequest, { runs, relay }: StreamProgress): RequestError {
     if (request.signal.aborted) return this._ended(request, runs > 0 || relay.started)
     if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'the endpoint gave no whole answer', { ran: RanState.Unknown })
