Keep the messages of a host below a fixed rate, and let few hosts of a large fleet read the source

Ruled out: relays of load by zone; at 85 hosts they tell no earlier than a full mesh of 150 datagrams a second, and need a takeover of their own. Work of the other hosts is summed as it is told instead of at each look.

--- a/packages/core/src/gateway/JaymillEndpointDirectory.ts
+++ b/packages/core/src/gateway/JaymillEndpointDirectory.ts
@@ -41,7 +41,32 @@
    * @param nowMs - Monotonic time in milliseconds.
    */
   publisherReturned (nowMs: number): void {
-    this._graceUntilMs = nowMs + ENDPOINT_RETURN_MS
+    this.returnWithin(ENDPOINT_RETURN_MS, nowMs)
+  }
+
+  /**
+   * Keeps records that lapse for some time, as another host does after an outage.
+   *
+   * @param ms - Time, in milliseconds; 0 changes nothing.
+   * @param nowMs - Monotonic time in milliseconds.
+   */
+  returnWithin (ms: number, nowMs: number): void {
+    this._graceUntilMs = Math.max(this._graceUntilMs, nowMs + ms)
+  }
+
+  /**
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Time for which records that lapse are still kept, in milliseconds; 0 without an outage.
+   */
+  graceMs (nowMs: number): number {
+    return Math.max(0, this._graceUntilMs - nowMs)
+  }
+
+  /**
+   * @returns Records as published, without those that are missing after an outage.
+   */
+  published (): readonly EndpointRecord[] {
+    return [...this._entries.values()].filter(({ missingUntilMs }) => missingUntilMs === undefined).map(({ record }) => record)
   }
 
   /**
--- a/packages/core/src/gateway/JaymillEndpointLoad.ts
+++ b/packages/core/src/gateway/JaymillEndpointLoad.ts
@@ -15,10 +15,12 @@
 /** Work at each endpoint: exact for this host, as last told for the others. */
 export class EndpointLoad {
   private readonly _own = new Map<string, Outstanding>()
-  private readonly _others = new Map<string, ReadonlyMap<string, Outstanding>>()
+  private readonly _others = new Map<string, readonly LoadShare[]>()
+  /** Sum over the other hosts. */
+  private readonly _othersAt = new Map<string, Outstanding>()
 
   /**
-   * Counts work until the signal-free undo is called.
+   * Counts work until its signal aborts.
    *
    * @param endpointId - Endpoint that does the work.
    * @param tokens - Its tokens.
@@ -43,7 +45,9 @@
    * @param shares - All of its work.
    */
   adopt (hostId: string, shares: readonly LoadShare[]): void {
-    this._others.set(hostId, new Map(shares.map(({ endpointId, requests, tokens }) => [endpointId, { requests, tokens }])))
+    this.forget(hostId)
+    this._others.set(hostId, shares)
+    shares.forEach(({ endpointId, requests, tokens }) => addTo(this._othersAt, endpointId, requests, tokens))
   }
 
   /**
@@ -52,6 +56,7 @@
    * @param hostId - The other host.
    */
   forget (hostId: string): void {
+    this._others.get(hostId)?.forEach(({ endpointId, requests, tokens }) => addTo(this._othersAt, endpointId, -requests, -tokens))
     this._others.delete(hostId)
   }
 
@@ -60,18 +65,21 @@
    * @returns Work of all hosts there.
    */
   at (endpointId: string): Outstanding {
-    return [...this._others.values()]
-      .map(shares => shares.get(endpointId) ?? NOTHING)
-      .reduce((sum, work) => plus(sum, work), this._own.get(endpointId) ?? NOTHING)
+    return plus(this._own.get(endpointId) ?? NOTHING, this._othersAt.get(endpointId) ?? NOTHING)
   }
 
   private _change (endpointId: string, requests: number, tokens: number): void {
-    const work = plus(this._own.get(endpointId) ?? NOTHING, { requests, tokens })
-    if (work.requests > 0) this._own.set(endpointId, work)
-    else this._own.delete(endpointId)
+    addTo(this._own, endpointId, requests, tokens)
   }
 }
 
+/** Adds work to a sum; endpoints without work are left out. */
+function addTo (sums: Map<string, Outstanding>, endpointId: string, requests: number, tokens: number): void {
+  const work = plus(sums.get(endpointId) ?? NOTHING, { requests, tokens })
+  if (work.requests > 0) sums.set(endpointId, work)
+  else sums.delete(endpointId)
+}
+
 function plus (a: Outstanding, b: Outstanding): Outstanding {
   return { requests: a.requests + b.requests, tokens: a.tokens + b.tokens }
 }
--- a/packages/core/src/gateway/JaymillPromptDemand.ts
+++ b/packages/core/src/gateway/JaymillPromptDemand.ts
@@ -89,11 +89,10 @@
    * @returns Demand on all hosts.
    */
   total (service: string, nowMs: number): Omit<DemandShare, 'service'> {
-    return [...[...this._others.values()].flat(), ...this.own(nowMs)]
-      .filter(share => share.service === service)
-      .reduce((sum, { promptRate, kvRate, waitingTokens }) => ({
-        promptRate: sum.promptRate + promptRate, kvRate: sum.kvRate + kvRate, waitingTokens: sum.waitingTokens + waitingTokens
-      }), { promptRate: 0, kvRate: 0, waitingTokens: 0 })
+    const shares = [...this._others.values(), this.own(nowMs)].flatMap(all => all.filter(share => share.service === service))
+    return shares.reduce((sum, { promptRate, kvRate, waitingTokens }) => ({
+      promptRate: sum.promptRate + promptRate, kvRate: sum.kvRate + kvRate, waitingTokens: sum.waitingTokens + waitingTokens
+    }), { promptRate: 0, kvRate: 0, waitingTokens: 0 })
   }
 
   private _rates (service: string, nowMs: number): Omit<Rates, 'atMs'> {
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -72,3 +72,27 @@
 
 /** Engines of each stage that a change leaves: with a single one, its loss would stop the pool. */
 export const STAGE_MIN_ENGINES = 2
+
+/** Time between two beacons of an idle host of a small fleet, in milliseconds. */
+export const BEACON_INTERVAL_MS = 300
+
+/** Time for which changes of load are gathered into one beacon, in milliseconds; about a round trip within a region. */
+export const BEACON_GATHER_MS = 5
+
+/** Datagrams that one host sends in a second at most; sending and receiving them takes about a hundredth of a core. */
+export const BEACON_DATAGRAMS_PER_S = 150
+
+/** Silence after which another host's work is forgotten in a small fleet, in milliseconds; several lost beacons. */
+export const PEER_SILENT_MS = 1_500
+
+/** The same in a large fleet, in intervals between beacons. */
+export const BEACON_SILENT_INTERVALS = 5
+
+/** Other hosts from which on only some follow the source; below, the calls of all are few. */
+export const READ_ALL_HOSTS = 16
+
+/** Hosts of one availability zone that follow the source: one, and one that makes up for its loss. */
+export const READERS_PER_ZONE = 2
+
+/** Hosts of one availability zone that ask a source which answers none of them. */
+export const READER_TRIES_PER_ZONE = 5
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,6 +1,7 @@
+import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FleetRetryBudget, PromptDemand, Random, RouteKind, StageChanges, type DirectoryNote
+  Clock, DirectoryEvent, EndpointLoad, EndpointPace, EndpointReliability, FewReadersPerZone, FleetRetryBudget, PromptDemand, Random, RouteKind, StageChanges, type DirectoryNote
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
@@ -45,6 +46,9 @@
 const STOP_CHECK_MS = 20
 const SECOND_MS = 1_000
 
+/** Parts of a host that end with it; more listeners than these are a leak. */
+const ABORT_LISTENERS = 32
+
 /** One host that forwards opaque requests to endpoints. */
 export class Gateway {
   private readonly _settings: GatewaySettings
@@ -71,12 +75,14 @@
     const demand = new PromptDemand()
     const changes = new StageChanges()
     this._state = new FleetState(clock, log)
-    this._follower = new FleetFollower({ source, state: this._state, clock, random, log })
-    const seeds = settings.seeds.map(({ address }) => address)
-    const { host, listen } = settings
-    this._beacons = new HostBeacons({ address: host.address, listen: listen.beacon, seeds, state: this._state, load, demand, changes, clock, log })
+    const { host: { id, zone, address }, listen } = settings
+    const reads = (): boolean => new FewReadersPerZone().reads({ address, zone, connected: this._follower.connected }, this._beacons.readers)
+    this._follower = new FleetFollower({ source, state: this._state, reads, clock, random, log })
+    const seeds = settings.seeds.map(seed => seed.address)
+    const connected = (): boolean => this._follower.connected
+    this._beacons = new HostBeacons({ address, zone, listen: listen.beacon, seeds, state: this._state, load, demand, changes, connected, clock, log })
     this._parts = this._forwardingParts(load, demand, changes)
-    this._stages = new StageDriver({ ...this._parts, hostId: host.id, leads: () => this._beacons.leads })
+    this._stages = new StageDriver({ ...this._parts, hostId: id, leads: () => this._beacons.leads })
     this._ingress = new Ingress(this._parts, this._chooser())
   }
 
@@ -85,9 +91,11 @@
     const { listen, metricsPath, host } = this._settings
     const { clock, log } = this._adapters
     const signal = this._abort.signal
+    setMaxListeners(ABORT_LISTENERS, signal)
     log.belief('started', { zone: host.zone, address: host.address, pid: process.pid })
     this._state.onConfig(config => this._ingress.adopt(config), signal)
     this._state.onDirectory(note => this._directoryChanged(note), signal)
+    this._state.onNews(() => this._beacons.newsKnown(), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('follower ended', { reason: err.message }))
     const documents = new DocumentExchange({ listen: listen.documents, state: this._state, follower: this._follower, clock, log })
     this._beacons.onNewer((peer, beacon) => documents.newer(peer, beacon))
--- a/packages/gateway/src/fleet/JaymillFleetFollower.ts
+++ b/packages/gateway/src/fleet/JaymillFleetFollower.ts
@@ -4,7 +4,7 @@
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetSource } from '../ports/JaymillFleetSource.js'
 import {
-  CHANGES_WAIT_MS, EXPIRE_INTERVAL_MS, SOURCE_ANSWER_MS, SOURCE_OUTAGE_MS, SOURCE_RETRY_FIRST_MS, SOURCE_RETRY_MAX_MS
+  CHANGES_WAIT_MS, EXPIRE_INTERVAL_MS, READER_CHECK_MS, SOURCE_ANSWER_MS, SOURCE_OUTAGE_MS, SOURCE_RETRY_FIRST_MS, SOURCE_RETRY_MAX_MS
 } from './constants.js'
 import { FleetState, Origin } from './JaymillFleetState.js'
 
@@ -12,6 +12,8 @@
 export interface FleetFollowerParts {
   readonly source: FleetSource
   readonly state: FleetState
+  /** Whether this host has to follow the source; else it learns from other hosts. */
+  readonly reads: () => boolean
   readonly clock: Clock
   readonly random: Random
   readonly log: GatewayLog
@@ -21,6 +23,7 @@
 export class FleetFollower {
   private readonly _parts: FleetFollowerParts
   private _revision: number | undefined
+  private _reading = true
   private _failures = 0
   private _lastAnswerMs: number
 
@@ -32,9 +35,9 @@
     this._lastAnswerMs = parts.clock.nowMs()
   }
 
-  /** Whether the last question was answered. */
+  /** Whether this host follows the source and its last question was answered. */
   get connected (): boolean {
-    return this._failures === 0 && this._revision !== undefined
+    return this._reading && this._failures === 0 && this._revision !== undefined
   }
 
   /** Time since the source last answered, in milliseconds. */
@@ -50,7 +53,23 @@
   async run (signal: AbortSignal): Promise<void> {
     const timer = setInterval(() => this._parts.state.expire(), EXPIRE_INTERVAL_MS)
     signal.addEventListener('abort', () => clearInterval(timer), { once: true })
-    while (!signal.aborted) await this._step(signal)
+    while (!signal.aborted) {
+      this._choose()
+      if (this._reading) await this._step(signal)
+      else await sleep(READER_CHECK_MS, undefined, { signal }).catch(() => { /* The loop ends with the signal. */ })
+    }
+  }
+
+  /** A host that begins to read goes on from what others have told it. */
+  private _choose (): void {
+    const { state, reads, log } = this._parts
+    const reading = state.config === undefined || reads()
+    if (reading === this._reading) return
+    this._reading = reading
+    this._failures = 0
+    this._lastAnswerMs = this._parts.clock.nowMs()
+    if (reading && state.directory.revision > 0) this._revision = state.directory.revision
+    log.belief(reading ? 'begins to follow the source' : 'learns from other hosts', { revision: state.directory.revision, config: state.version })
   }
 
   private async _step (signal: AbortSignal): Promise<void> {
@@ -79,7 +98,7 @@
     if (changes === undefined) this._parts.log.belief('history of the source lost', { revision })
     this._answered()
     this._revision = changes?.revision
-    if (changes !== undefined) this._parts.state.adoptChanges(changes)
+    if (changes !== undefined) this._parts.state.adoptChanges(changes, Origin.Source)
   }
 
   private _answered (): void {
--- a/packages/gateway/src/fleet/JaymillFleetState.ts
+++ b/packages/gateway/src/fleet/JaymillFleetState.ts
@@ -1,6 +1,7 @@
-import { Clock, EndpointDirectory, RouteTable, type DirectoryNote, type EndpointRecord, type GatewayConfig } from '@jaymill/core'
+import { Clock, EndpointDirectory, RouteTable, type DirectoryNote, type EndpointChange, type GatewayConfig } from '@jaymill/core'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetChanges, FleetSnapshot } from '../ports/JaymillFleetSource.js'
+import { CHANGES_KEPT } from './constants.js'
 
 /** Where a host has learned something. */
 export enum Origin {
@@ -14,6 +15,24 @@
 /** Called after a configuration has come into force. */
 export type ConfigListener = (config: GatewayConfig) => void
 
+/** What a host tells another one that knows less. */
+export interface FleetDocument {
+  /** Present when the other host has an older one. */
+  readonly config?: GatewayConfig
+  /** Either all endpoints, or the changes since what the other host knows. */
+  readonly endpoints?: FleetSnapshot['endpoints']
+  readonly changes?: readonly EndpointChange[]
+  readonly revision: number
+  /** Time for which records that lapsed in an outage are still kept, in milliseconds. */
+  readonly graceMs: number
+}
+
+interface RevisedChanges {
+  /** Revision before the changes. */
+  readonly before: number
+  readonly changes: readonly EndpointChange[]
+}
+
 /** What this host knows of configuration and endpoints. A configuration is only replaced by one of a higher version. */
 export class FleetState {
   private readonly _clock: Clock
@@ -21,6 +40,8 @@
   private readonly _directory = new EndpointDirectory()
   private readonly _listeners: DirectoryListener[] = []
   private readonly _configListeners: ConfigListener[] = []
+  private readonly _newsListeners: Array<() => void> = []
+  private _recent: readonly RevisedChanges[] = []
   private _config: GatewayConfig | undefined
   private _table: RouteTable | undefined
 
@@ -58,8 +79,15 @@
    * @param signal - Ends the calls.
    */
   onDirectory (listener: DirectoryListener, signal: AbortSignal): void {
-    this._listeners.push(listener)
-    signal.addEventListener('abort', () => this._listeners.splice(this._listeners.indexOf(listener), 1), { once: true })
+    register(this._listeners, listener, signal)
+  }
+
+  /**
+   * @param listener - Called after something new was read from the source.
+   * @param signal - Ends the calls.
+   */
+  onNews (listener: () => void, signal: AbortSignal): void {
+    register(this._newsListeners, listener, signal)
   }
 
   /**
@@ -67,8 +95,7 @@
    * @param signal - Ends the calls.
    */
   onConfig (listener: ConfigListener, signal: AbortSignal): void {
-    this._configListeners.push(listener)
-    signal.addEventListener('abort', () => this._configListeners.splice(this._configListeners.indexOf(listener), 1), { once: true })
+    register(this._configListeners, listener, signal)
   }
 
   /**
@@ -79,17 +106,37 @@
    */
   adoptSnapshot ({ config, endpoints, revision }: FleetSnapshot, origin: Origin): void {
     if (config !== undefined) this._adoptConfig(config, origin)
+    const news = revision > this._directory.revision
+    if (news) this._recent = []
     this._tell(this._directory.adoptAll(endpoints, revision, this._clock.nowMs()), origin)
+    if (news && origin === Origin.Source) this._newsListeners.forEach(listener => listener())
   }
 
   /**
    * Takes in changes.
    *
    * @param changes - Changes as read.
+   * @param origin - Where they were read.
    */
-  adoptChanges ({ config, endpoints, revision }: FleetChanges): void {
-    if (config !== undefined) this._adoptConfig(config, Origin.Source)
-    this._tell(this._directory.apply(endpoints, revision, this._clock.nowMs()), Origin.Source)
+  adoptChanges ({ config, endpoints, revision }: FleetChanges, origin: Origin): void {
+    if (config !== undefined) this._adoptConfig(config, origin)
+    const before = this._directory.revision
+    const news = revision > before
+    if (news) this._recent = [...this._recent, { before, changes: endpoints }].slice(-CHANGES_KEPT)
+    this._tell(this._directory.apply(endpoints, revision, this._clock.nowMs()), origin)
+    if (news && origin === Origin.Source) this._newsListeners.forEach(listener => listener())
+  }
+
+  /**
+   * Takes in what another host has told.
+   *
+   * @param document - What it has told.
+   */
+  adoptDocument ({ config, endpoints, changes, revision, graceMs }: FleetDocument): void {
+    if (graceMs > 0) this._directory.returnWithin(graceMs, this._clock.nowMs())
+    const known = { ...(config === undefined ? {} : { config }), revision }
+    if (endpoints !== undefined) this.adoptSnapshot({ ...known, endpoints }, Origin.Peer)
+    else this.adoptChanges({ ...known, endpoints: changes ?? [] }, Origin.Peer)
   }
 
   /** Tells that the source answers again after an outage. */
@@ -103,11 +150,26 @@
   }
 
   /**
-   * @returns Everything that is known, for another host; `undefined` before the first configuration.
+   * @param version - Version of the configuration that another host knows; 0 without one.
+   * @param revision - Revision of the endpoints that it knows; 0 without any.
+   * @returns What it lacks; `undefined` while this host knows no configuration itself.
    */
-  snapshot (): FleetSnapshot & { readonly endpoints: readonly EndpointRecord[] } | undefined {
+  documentFor (version: number, revision: number): FleetDocument | undefined {
     if (this._config === undefined) return undefined
-    return { config: this._config, endpoints: this._directory.records(), revision: this._directory.revision }
+    const changes = this._changesAfter(revision)
+    return {
+      ...(this.version > version ? { config: this._config } : {}),
+      ...(changes === undefined ? { endpoints: this._directory.published() } : { changes }),
+      revision: this._directory.revision,
+      graceMs: this._directory.graceMs(this._clock.nowMs())
+    }
+  }
+
+  /** Changes since a revision; `undefined` when they are no longer kept. */
+  private _changesAfter (revision: number): readonly EndpointChange[] | undefined {
+    if (revision === this._directory.revision) return []
+    const first = this._recent.findIndex(({ before }) => before === revision)
+    return first < 0 ? undefined : this._recent.slice(first).flatMap(({ changes }) => changes)
   }
 
   private _adoptConfig (config: GatewayConfig, origin: Origin): void {
@@ -127,3 +189,8 @@
     })
   }
 }
+
+function register<Listener> (listeners: Listener[], listener: Listener, signal: AbortSignal): void {
+  listeners.push(listener)
+  signal.addEventListener('abort', () => listeners.splice(listeners.indexOf(listener), 1), { once: true })
+}
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -15,3 +15,9 @@
 
 /** Pause between two looks for endpoints that did not come back, in milliseconds. */
 export const EXPIRE_INTERVAL_MS = 100
+
+/** Recent changes that are kept for hosts that learn from this one; more than come in the time between two beacons. */
+export const CHANGES_KEPT = 64
+
+/** Pause between two looks whether this host has to follow the source, in milliseconds. */
+export const READER_CHECK_MS = 250
--- a/packages/gateway/src/peers/JaymillBeaconMessage.ts
+++ b/packages/gateway/src/peers/JaymillBeaconMessage.ts
@@ -7,6 +7,10 @@
 export const beaconSchema = z.object({
   /** IP number of the sender. */
   from: text,
+  /** Availability zone of the sender. */
+  zone: text,
+  /** Whether the sender follows the source of configuration and endpoints, and is answered. */
+  connected: z.boolean(),
   /** Start of the sender's process, in milliseconds since the Unix epoch. */
   born: count,
   /** Rises with each beacon of one start. */
@@ -21,7 +25,7 @@
   demand: z.array(z.tuple([text, count, count, count])),
   /** Engines that the sender has ordered to change their stage. */
   changing: z.array(text),
-  /** IP numbers of hosts heard of lately. */
+  /** IP numbers of some hosts that the sender has heard lately; of all when it was asked. */
   hosts: z.array(text),
   /** Whether an answer is wanted at once. */
   ask: z.boolean(),
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -1,15 +1,16 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import type { Clock, EndpointLoad, PromptDemand, StageChanges } from '@jaymill/core'
+import { BeaconPace, type Clock, type EndpointLoad, type PromptDemand, type SourceReader, type StageChanges } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
-import { BEACON_GATHER_MS, BEACON_INTERVAL_MS, PEER_FORGET_MS, PEER_SILENT_MS } from './constants.js'
+import { BEACON_CHECK_MS, HOSTS_PER_BEACON, PEER_FORGET_MS } from './constants.js'
 import { parseBeacon, type Beacon } from './JaymillBeaconMessage.js'
 
 /** What the beacons work with. */
 export interface HostBeaconsParts {
   readonly address: string
+  readonly zone: string
   readonly listen: SocketAddress
   /** IP numbers to start from. */
   readonly seeds: readonly string[]
@@ -17,6 +18,8 @@
   readonly load: EndpointLoad
   readonly demand: PromptDemand
   readonly changes: StageChanges
+  /** Whether this host follows the source and is answered. */
+  readonly connected: () => boolean
   readonly clock: Clock
   readonly log: GatewayLog
 }
@@ -29,11 +32,13 @@
   born: number
   seq: number
   live: boolean
+  zone: string
+  connected: boolean
 }
 
 /**
- * Tells all hosts of the fleet what this one does and knows, by datagrams: its work at each endpoint as soon as it changes,
- * and at the latest after an interval. A lost datagram is made up for by the next, since each holds the whole state.
+ * Tells all hosts of the fleet what this one does and knows, by datagrams: its work at each endpoint as soon as it changes
+ * and the pace allows it, and at the latest after an interval. A lost datagram is made up for by the next, since each holds the whole state.
  */
 export class HostBeacons {
   private readonly _parts: HostBeaconsParts
@@ -42,9 +47,10 @@
   private readonly _newerListeners: NewerListener[] = []
   private readonly _socket: Socket = createSocket('udp4')
   private _seq = 0
-  private _gathering = false
+  private _gathering: NodeJS.Timeout | undefined
   private _leaving = false
-  private _lastSentMs = Number.NEGATIVE_INFINITY
+  private readonly _pace = new BeaconPace()
+  private _firstTold = 0
 
   /**
    * @param parts - Address, state and load of this host.
@@ -59,6 +65,11 @@
     return [...this._peers].filter(([, peer]) => peer.live).map(([ip]) => ip)
   }
 
+  /** What the hosts that were heard lately have told of themselves and the source. */
+  get readers (): readonly SourceReader[] {
+    return [...this._peers].filter(([, peer]) => peer.live).map(([address, { zone, connected }]) => ({ address, zone, connected }))
+  }
+
   /** Whether this host has the lowest address of those that hear each other, and these are most of the hosts. */
   get leads (): boolean {
     const live = this.live
@@ -88,16 +99,19 @@
     this._socket.on('error', err => log.warn('beacon socket failed', { reason: err.message }))
     this._socket.bind(listen.port, listen.address)
     await once(this._socket, 'listening', { signal })
-    const timer = setInterval(() => this._tick(), BEACON_INTERVAL_MS / 3)
+    const timer = setInterval(() => this._tick(), BEACON_CHECK_MS)
     signal.addEventListener('abort', () => { clearInterval(timer); this._socket.close() }, { once: true })
     this._send(true)
   }
 
-  /** Tells the other hosts soon that this host's work has changed. */
+  /** Tells the other hosts, as soon as the pace allows it, that this host's work has changed. */
   loadChanged (): void {
-    if (this._gathering) return
-    this._gathering = true
-    setTimeout(() => { this._gathering = false; this._send(false) }, BEACON_GATHER_MS)
+    this._gathering ??= setTimeout(() => this._send(false), this._pace.untilNextMs(this._peers.size, this._parts.clock.nowMs()))
+  }
+
+  /** Tells the other hosts at once that this host knows a newer configuration or newer endpoints. */
+  newsKnown (): void {
+    setImmediate(() => this._send(false))
   }
 
   /** Tells the other hosts that this one is about to stop. */
@@ -109,12 +123,12 @@
   private _tick (): void {
     const nowMs = this._parts.clock.nowMs()
     this._peers.forEach((peer, ip) => this._age(ip, peer, nowMs))
-    if (nowMs - this._lastSentMs >= BEACON_INTERVAL_MS) this._send(this._parts.state.config === undefined)
+    if (this._pace.due(this._peers.size, nowMs)) this._send(this._parts.state.config === undefined)
   }
 
   private _age (ip: string, peer: PeerEntry, nowMs: number): void {
     const silentMs = nowMs - peer.heardMs
-    if (peer.live && silentMs > PEER_SILENT_MS) this._lost(ip, peer, silentMs)
+    if (peer.live && silentMs > this._pace.silentMs(this._peers.size)) this._lost(ip, peer, silentMs)
     if (silentMs > PEER_FORGET_MS && !this._parts.seeds.includes(ip)) this._peers.delete(ip)
   }
 
@@ -127,8 +141,10 @@
   }
 
   private _send (ask: boolean): void {
-    this._lastSentMs = this._parts.clock.nowMs()
-    const bytes = Buffer.from(JSON.stringify(this._beacon(ask)))
+    clearTimeout(this._gathering)
+    this._gathering = undefined
+    this._pace.sent(this._parts.clock.nowMs())
+    const bytes = Buffer.from(JSON.stringify(this._beacon(ask, this._someHosts())))
     this._peers.forEach((_, ip) => this._sendTo(ip, bytes))
   }
 
@@ -138,11 +154,21 @@
     })
   }
 
-  private _beacon (ask: boolean): Beacon {
+  /** Some of the hosts that were heard lately, others each time. */
+  private _someHosts (): readonly string[] {
+    const live = this.live
+    if (live.length <= HOSTS_PER_BEACON) return live
+    this._firstTold = (this._firstTold + HOSTS_PER_BEACON) % live.length
+    return [...live, ...live].slice(this._firstTold, this._firstTold + HOSTS_PER_BEACON)
+  }
+
+  private _beacon (ask: boolean, hosts: readonly string[]): Beacon {
     this._seq += 1
-    const { address, state, load, demand, changes, clock } = this._parts
+    const { address, zone, connected, state, load, demand, changes, clock } = this._parts
     return {
       from: address,
+      zone,
+      connected: connected(),
       born: this._born,
       seq: this._seq,
       config: state.version,
@@ -150,7 +176,7 @@
       load: load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens]),
       demand: demand.own(clock.nowMs()).map(({ service, promptRate, kvRate, waitingTokens }) => [service, round(promptRate), round(kvRate), waitingTokens]),
       changing: [...changes.own(clock.nowMs())],
-      hosts: [...this.live],
+      hosts: [...hosts],
       ask,
       leaving: this._leaving
     }
@@ -170,12 +196,12 @@
     const peer = this._entry(beacon.from)
     if (beacon.born < peer.born || (beacon.born === peer.born && beacon.seq <= peer.seq)) return
     if (!peer.live) this._parts.log.belief('host heard', { peer: beacon.from, config: beacon.config, revision: beacon.revision })
-    Object.assign(peer, { born: beacon.born, seq: beacon.seq, live: true, heardMs: this._parts.clock.nowMs() })
+    Object.assign(peer, { born: beacon.born, seq: beacon.seq, zone: beacon.zone, connected: beacon.connected, live: true, heardMs: this._parts.clock.nowMs() })
     this._parts.load.adopt(beacon.from, beacon.load.map(([endpointId, requests, tokens]) => ({ endpointId, requests, tokens })))
     this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, kvRate, waitingTokens]) => ({ service, promptRate, kvRate, waitingTokens })))
     this._parts.changes.adopt(beacon.from, beacon.changing)
     beacon.hosts.filter(ip => ip !== this._parts.address).forEach(ip => this._entry(ip))
-    if (beacon.ask || !known) this._sendTo(beacon.from, Buffer.from(JSON.stringify(this._beacon(false))))
+    if (beacon.ask || !known) this._sendTo(beacon.from, Buffer.from(JSON.stringify(this._beacon(false, this.live))))
     this._compare(beacon)
   }
 
@@ -186,7 +212,7 @@
   }
 
   private _entry (ip: string): PeerEntry {
-    const peer = this._peers.get(ip) ?? { heardMs: this._parts.clock.nowMs(), born: 0, seq: 0, live: false }
+    const peer = this._peers.get(ip) ?? { heardMs: this._parts.clock.nowMs(), born: 0, seq: 0, live: false, zone: '', connected: false }
     this._peers.set(ip, peer)
     return peer
   }
