Give late requests room only while their callers still wait, and read prompts where they are on time

A late request got room up to 3.24 s after its arrival, its first event came 0.6 s later, and callers leave after 3.6 s: prompt, room and request were lost. Callers that had come back counted as on time once more and went before those that could still be. Change: the last moment for room leaves time for the prompt and the first event, by what callers of the route wait for; a late caller is asked to come back by the time that the queue takes to drain while others arrive, and one that has come back yields to requests that can be on time; PromptReading chooses between prefill engine and decode engine; hosts tell each other of prompts that decode engines read.

--- a/packages/core/src/gateway/JaymillGatewayConfig.ts
+++ b/packages/core/src/gateway/JaymillGatewayConfig.ts
@@ -1,3 +1,5 @@
+import { CALLER_PATIENCE_GAPS, CALLER_PATIENCE_MIN_MS, CALLER_PATIENCE_TARGETS } from './constants.js'
+
 /** What may be done with a request more than once. */
 export enum RouteKind {
   /** Idempotent: may run more than once. */
@@ -85,3 +87,11 @@
 export function isIdempotent (route: GatewayRoute): boolean {
   return route.kind === RouteKind.Safe || (route.kind === RouteKind.Streaming && route.resumable)
 }
+
+/**
+ * @param route - Route of a stream.
+ * @returns Time after which a caller that gets no event gives up, in milliseconds.
+ */
+export function callerPatienceMs ({ targetLatencyMs, gapTargetMs }: Pick<GatewayRoute, 'targetLatencyMs' | 'gapTargetMs'>): number {
+  return Math.max(CALLER_PATIENCE_MIN_MS, CALLER_PATIENCE_TARGETS * targetLatencyMs, CALLER_PATIENCE_GAPS * (gapTargetMs ?? 0))
+}
--- a/packages/core/src/gateway/JaymillWaitingOrder.ts
+++ b/packages/core/src/gateway/JaymillWaitingOrder.ts
@@ -5,9 +5,9 @@
   readonly id: string
   /** Monotonic time of its arrival, in milliseconds. */
   readonly arrivedMs: number
-  /** Time until which it must get room to be answered on time, in milliseconds. */
+  /** Time until which it must get room to be answered on time, in milliseconds; in the past when its caller has come back. */
   readonly onTimeUntilMs: number
-  /** Time until which its caller waits for a first event, in milliseconds. */
+  /** Time until which it must get room for a first event before its caller gives up, in milliseconds. */
   readonly patientUntilMs: number
   /** KV cache that it needs, in tokens. */
   readonly tokens: number
@@ -79,5 +79,36 @@
  */
 export function comeBackMs (item: Waiting, backlogMs: number, nowMs: number): number | undefined {
   if (item.returned || nowMs <= item.onTimeUntilMs || nowMs + backlogMs <= item.patientUntilMs - LAST_CALL_MS) return undefined
+  return comeBackAfterMs(backlogMs)
+}
+
+/**
+ * @param backlogMs - Time until the requests that wait now will have got room, in milliseconds.
+ * @returns Time after which a caller without room should come back, in milliseconds.
+ */
+export function comeBackAfterMs (backlogMs: number): number {
   return Math.min(COME_BACK_MAX_MS, Math.max(COME_BACK_MIN_MS, backlogMs))
 }
+
+/** Memory of a pool of engines and what is asked of it. */
+export interface PoolBacklog {
+  /** KV cache that waiting requests need, in tokens. */
+  readonly waitingTokens: number
+  /** KV cache that requests which arrive in a millisecond will hold, in tokens. */
+  readonly arrivingRate: number
+  /** KV cache of the pool, in tokens. */
+  readonly capacityTokens: number
+  /** Time for which a request holds KV cache, in milliseconds. */
+  readonly heldMs: number
+}
+
+/**
+ * @param backlog - A pool and what is asked of it.
+ * @returns Time until the requests that wait now have got room while others go on arriving and may go first, in milliseconds;
+ * infinite while more arrives than the pool can serve.
+ */
+export function drainMs ({ waitingTokens, arrivingRate, capacityTokens, heldMs }: PoolBacklog): number {
+  if (waitingTokens === 0) return 0
+  const left = capacityTokens - arrivingRate * heldMs
+  return left <= 0 ? Number.POSITIVE_INFINITY : waitingTokens * heldMs / left
+}
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -31,8 +31,17 @@
 /** Weight of the prefill stage's use: a queue that is served one by one grows long before its server is fully used. */
 export const PREFILL_USE_WEIGHT = 1.3
 
-/** Time before a caller gives up at which its request gets room before others, in milliseconds: a prefill and a share of an answer. */
-export const LAST_CALL_MS = 900
+/** Time before the last moment for room at which a request gets it before others, in milliseconds; some requests end in it. */
+export const LAST_CALL_MS = 600
+
+/** Shortest time for which callers wait for the next event of a stream, in milliseconds (users' protocol). */
+export const CALLER_PATIENCE_MIN_MS = 2_000
+
+/** Time for which callers wait for the next event, as a multiple of the route's target (users' protocol). */
+export const CALLER_PATIENCE_TARGETS = 4
+
+/** Time for which callers wait for the next event, as a multiple of the route's longest pause (users' protocol). */
+export const CALLER_PATIENCE_GAPS = 8
 
 /** Time over which the use of the stages is averaged, in milliseconds; longer than a burst that a change would come too late for. */
 export const BALANCE_SMOOTH_MS = 8_000
@@ -96,3 +105,9 @@
 
 /** Hosts of one availability zone that ask a source which answers none of them. */
 export const READER_TRIES_PER_ZONE = 5
+
+/** Time for one prompt token at a decode engine, in milliseconds: half the speed of a prefill engine, and a step between chunks. */
+export const DIRECT_READ_TOKEN_MS = 0.055
+
+/** Time of a prompt at a decode engine that does not depend on its size, in milliseconds: the first step. */
+export const DIRECT_READ_FIXED_MS = 120
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -72,6 +72,7 @@
     this._adapters = adapters
     const { clock, random, log, source } = adapters
     const load = new EndpointLoad()
+    const directReads = new EndpointLoad()
     const demand = new PromptDemand()
     const changes = new StageChanges()
     this._state = new FleetState(clock, log)
@@ -80,8 +81,8 @@
     this._follower = new FleetFollower({ source, state: this._state, reads, clock, random, log })
     const seeds = settings.seeds.map(seed => seed.address)
     const connected = (): boolean => this._follower.connected
-    this._beacons = new HostBeacons({ address, zone, listen: listen.beacon, seeds, state: this._state, load, demand, changes, connected, clock, log })
-    this._parts = this._forwardingParts(load, demand, changes)
+    this._beacons = new HostBeacons({ address, zone, listen: listen.beacon, seeds, state: this._state, load, directReads, demand, changes, connected, clock, log })
+    this._parts = this._forwardingParts(load, directReads, demand, changes)
     this._stages = new StageDriver({ ...this._parts, hostId: id, leads: () => this._beacons.leads })
     this._ingress = new Ingress(this._parts, this._chooser())
   }
@@ -129,7 +130,7 @@
     this._abort.abort()
   }
 
-  private _forwardingParts (load: EndpointLoad, demand: PromptDemand, changes: StageChanges): ForwardingParts {
+  private _forwardingParts (load: EndpointLoad, directReads: EndpointLoad, demand: PromptDemand, changes: StageChanges): ForwardingParts {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     return {
@@ -143,6 +144,7 @@
       engines,
       state: this._state,
       load,
+      directReads,
       demand,
       changes,
       reliability: new EndpointReliability(),
--- a/packages/gateway/src/forwarding/JaymillForwardingParts.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingParts.ts
@@ -18,6 +18,8 @@
   readonly engines: EngineControl
   readonly state: FleetState
   readonly load: EndpointLoad
+  /** Prompts that decode engines read. */
+  readonly directReads: EndpointLoad
   readonly reliability: EndpointReliability
   readonly pace: EndpointPace
   readonly budget: FleetRetryBudget
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,6 +1,6 @@
 import {
-  CallOutcome, EngineStage, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord,
-  type Outstanding
+  callerPatienceMs, CallOutcome, DirectWhenOnTime, drainMs, EngineStage, ErrorKind, isIdempotent, RanState, ReadingPlace, RequestError,
+  type EndpointRecord, type Outstanding, type PromptReading, type ReadingOptions
 } from '@jaymill/core'
 import { BUSY_RETRY_MS } from '../callers/constants.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -13,9 +13,9 @@
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import type { KvSource } from '../ports/JaymillWireDialect.js'
 import {
-  ANSWER_WEIGHT, DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_PATIENCE, LONG_ANSWER, MAX_PROMPT_ROUNDS, MIN_CALL_MS,
+  ANSWER_WEIGHT, DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_MARGIN_MS, LONG_ANSWER, MAX_PROMPT_ROUNDS, MIN_CALL_MS,
   PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
-  RESERVE_TIMEOUT_MS, RESERVE_WAIT_SHARE, RETURNED_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
+  RESERVE_TIMEOUT_MS, RETURNED_SHARE, ROOM_DOUBT_MS, STREAM_SILENCE_MS
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
@@ -52,6 +52,7 @@
   /** Estimate of an answer, in tokens; mean of recent ones. */
   private _answerTokens = 0
   private readonly _askedMs = new Map<string, number>()
+  private readonly _reading: PromptReading = new DirectWhenOnTime()
 
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs ({ facts, service }: GatewayRequest): number {
@@ -98,17 +99,21 @@
 
   private async _reserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation> {
     const { arrivedMs, route, signal, facts } = request
-    const patientMs = Math.min(this._leftMs(request) * RESERVE_WAIT_SHARE, FIRST_EVENT_PATIENCE * route.targetLatencyMs)
+    const nowMs = this._parts.clock.nowMs()
+    const returned = (facts.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETURNED_SHARE
+    const firstEventMs = this._firstEventMs(request)
+    const givesUpMs = progress.rounds > 1 ? nowMs + callerPatienceMs(route) : arrivedMs + callerPatienceMs(route)
+    const patientUntilMs = Math.min(givesUpMs, request.deadlineMs) - firstEventMs - FIRST_EVENT_MARGIN_MS
     const { reservation, comeBackMs } = await this._queue(request).acquire({
       id: request.id,
       arrivedMs,
-      onTimeUntilMs: arrivedMs + route.targetLatencyMs - this._firstEventMs(request),
-      patientUntilMs: Math.max(arrivedMs + patientMs, this._parts.clock.nowMs()),
+      onTimeUntilMs: returned ? Number.NEGATIVE_INFINITY : arrivedMs + route.targetLatencyMs - firstEventMs,
+      patientUntilMs: Math.max(patientUntilMs, nowMs),
       tokens: tokensOf(request),
       cost: tokensOf(request) * (facts.prompt?.expectedAnswerTokens ?? 0),
-      returned: (facts.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETURNED_SHARE || progress.rounds > 1,
+      returned: returned || progress.rounds > 1,
       signal,
-      reserve: async () => this._prefillMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._firstReservation(request, this._withRoom(request, progress))
+      reserve: async () => this._readMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._firstReservation(request, this._withRoom(request, progress))
     })
     if (reservation !== undefined && !signal.aborted) return reservation
     if (reservation !== undefined) this._giveBack(request, reservation, undefined)
@@ -126,11 +131,13 @@
     return queue
   }
 
-  /** Time until all that wait for room will have got it: full engines free their memory once in an answer's time. */
+  /** Time until all that wait for room will have got it. */
   private _backlogMs (request: GatewayRequest): number {
     const { demand, clock } = this._parts
-    const capacity = this._pool(request, EngineStage.Decode).length * (request.service.engine?.kvTokens ?? 0)
-    return capacity === 0 ? 0 : demand.total(request.service.name, clock.nowMs()).waitingTokens / capacity * demand.heldMs(request.service.name)
+    const service = request.service.name
+    const capacityTokens = this._pool(request, EngineStage.Decode).length * (request.service.engine?.kvTokens ?? 0)
+    const { waitingTokens, kvRate } = demand.total(service, clock.nowMs())
+    return drainMs({ waitingTokens, arrivingRate: kvRate, capacityTokens, heldMs: demand.heldMs(service) })
   }
 
   /** Engines that seem to have room, and those that were not asked for a while. */
@@ -159,7 +166,7 @@
     this._askedMs.set(endpoint.id, startMs)
     const work = load.at(endpoint.id)
     const tokens = tokensOf(request)
-    const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_PATIENCE * this._prefillMs(request))
+    const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_PATIENCE * this._readMs(request))
     try {
       const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
       const outcome = reservation === undefined ? 'full' : 'reserved'
@@ -187,7 +194,8 @@
 
   /** @returns Whether another round is needed. */
   private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
-    const prompt = await this._prefill(request, progress, new Set())
+    const place = this._reading.choose(this._readingOptions(request, reservation.endpoint))
+    const prompt = place === ReadingPlace.Prefill ? await this._prefill(request, progress, new Set()) : undefined
     if (request.signal.aborted) {
       this._giveBack(request, reservation, prompt)
       throw this._givenUp(request, progress)
@@ -257,11 +265,16 @@
     const { endpoint } = reservation
     const resumed = progress.relay.lastEventId === undefined ? {} : { lastEventId: progress.relay.lastEventId }
     const intent = { reservationId: reservation.id, ...resumed, ...(prompt === undefined ? {} : { kvSource: prompt }) }
-    const limit = new TimeLimit(request.signal, isIdempotent(request.route) ? STREAM_SILENCE_MS : this._leftMs(request))
+    const directMs = prompt === undefined ? this._readMs(request) : 0
+    const limit = new TimeLimit(request.signal, isIdempotent(request.route) ? STREAM_SILENCE_MS + PREFILL_PATIENCE * directMs : this._leftMs(request))
+    const direct = new AbortController()
+    if (prompt === undefined) this._parts.directReads.add(endpoint.id, promptTokensOf(request), direct.signal)
     const startMs = clock.nowMs()
     const done = (verdict: Verdict, reason?: string): void => {
       limit.lift()
-      log.request(request.id, 'decode', { endpoint: endpoint.id, verdict, reason, afterEvent: progress.relay.lastEventId, ms: Math.round(clock.nowMs() - startMs) })
+      direct.abort()
+      const readAt = prompt?.endpoint.id ?? endpoint.id
+      log.request(request.id, 'decode', { endpoint: endpoint.id, readAt, verdict, reason, afterEvent: progress.relay.lastEventId, ms: Math.round(clock.nowMs() - startMs) })
     }
     try {
       const answer = await calls.open(this._call(request, endpoint, intent), limit.signal)
@@ -373,15 +386,27 @@
       .filter(record => (record.stage ?? EngineStage.Decode) === stage && !changes.has(record.id, nowMs))
   }
 
-  /** Expected time of the prompt at the prefill engine that is free first; 0 when there is none. */
-  private _prefillMs (request: GatewayRequest): number {
+  /** Expected time of the prompt at the prefill engine that is free first; `undefined` when there is none. */
+  private _prefillMs (request: GatewayRequest): number | undefined {
     const times = this._candidates(this._pool(request, EngineStage.Prefill), promptTokensOf(request))
       .filter(({ suspect }) => !suspect)
       .map(({ expectedMs }) => expectedMs)
-    return times.length === 0 ? 0 : Math.min(...times)
+    return times.length === 0 ? undefined : Math.min(...times)
+  }
+
+  private _readingOptions (request: GatewayRequest, engine?: EndpointRecord): ReadingOptions {
+    const engines = engine === undefined ? this._pool(request, EngineStage.Decode) : [engine]
+    const directTokens = Math.min(...engines.map(({ id }) => this._parts.directReads.at(id).tokens))
+    const leftMs = request.arrivedMs + request.route.targetLatencyMs - FIRST_EVENT_FIXED_MS - this._parts.clock.nowMs()
+    return { promptTokens: promptTokensOf(request), prefillMs: this._prefillMs(request), directTokens, leftMs }
+  }
+
+  /** Expected time until the prompt is read where it is read best. */
+  private _readMs (request: GatewayRequest): number {
+    return this._reading.expectedMs(this._readingOptions(request))
   }
 
   private _firstEventMs (request: GatewayRequest): number {
-    return FIRST_EVENT_FIXED_MS + this._prefillMs(request)
+    return FIRST_EVENT_FIXED_MS + this._readMs(request)
   }
 }
--- a/packages/gateway/src/forwarding/JaymillRoomQueue.ts
+++ b/packages/gateway/src/forwarding/JaymillRoomQueue.ts
@@ -1,4 +1,4 @@
-import { comeBackMs, OnTimeFirstOrder, type Clock, type Waiting, type WaitingOrder } from '@jaymill/core'
+import { comeBackAfterMs, comeBackMs, OnTimeFirstOrder, type Clock, type Waiting, type WaitingOrder } from '@jaymill/core'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import { ROOM_RETRY_MS } from './constants.js'
 
@@ -13,7 +13,7 @@
 /** How the wait for room has ended. */
 export interface RoomOutcome {
   readonly reservation?: Reservation
-  /** Time after which the caller should come back, in milliseconds, when the wait would be in vain. */
+  /** Time after which the caller should come back, in milliseconds, when it has found no room. */
   readonly comeBackMs?: number
 }
 
@@ -80,7 +80,7 @@
   private async _pump (): Promise<void> {
     const nowMs = this._clock.nowMs()
     const backlogMs = this._backlogMs()
-    this._waiting.filter(({ patientUntilMs }) => patientUntilMs < nowMs).forEach(queued => this._leave(queued, {}))
+    this._waiting.filter(({ patientUntilMs }) => patientUntilMs < nowMs).forEach(queued => this._leave(queued, { comeBackMs: comeBackAfterMs(backlogMs) }))
     this._waiting.forEach(queued => {
       const ms = comeBackMs(queued, backlogMs, nowMs)
       if (ms !== undefined) this._leave(queued, { comeBackMs: ms })
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -22,15 +22,12 @@
 /** Time after which an engine that seems full is asked all the same, in milliseconds: what hosts tell may be late or lost. */
 export const ROOM_DOUBT_MS = 250
 
-/** Wait of a caller for the first event of a stream before it gives up, as a multiple of the route's target (users' protocol). */
-export const FIRST_EVENT_PATIENCE = 3.6
+/** Time before a caller gives up at which its first event has to be under way, in milliseconds: both ways and some delay. */
+export const FIRST_EVENT_MARGIN_MS = 150
 
 /** Time to the first event beside the reading of the prompt, in milliseconds: fixed part of a prefill, transfer, first step. */
 export const FIRST_EVENT_FIXED_MS = 200
 
-/** Longest wait for room at the engines, as a share of the time that is left. */
-export const RESERVE_WAIT_SHARE = 0.9
-
 /** Time of a prefill beyond which its engine counts as silent: a multiple of the expected time. */
 export const PREFILL_PATIENCE = 3
 
--- a/packages/gateway/src/peers/JaymillBeaconMessage.ts
+++ b/packages/gateway/src/peers/JaymillBeaconMessage.ts
@@ -21,6 +21,8 @@
   revision: count,
   /** Own work: endpoint id, requests, tokens. */
   load: z.array(z.tuple([text, count, count])),
+  /** Prompts that decode engines read for own callers: endpoint id, requests, tokens. */
+  reading: z.array(z.tuple([text, count, count])),
   /** Demand of own callers: service, prompt tokens a millisecond, KV tokens a millisecond, KV tokens waited for. */
   demand: z.array(z.tuple([text, count, count, count])),
   /** Engines that the sender has ordered to change their stage. */
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -1,6 +1,6 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import { BeaconPace, type Clock, type EndpointLoad, type PromptDemand, type SourceReader, type StageChanges } from '@jaymill/core'
+import { BeaconPace, type Clock, type EndpointLoad, type LoadShare, type PromptDemand, type SourceReader, type StageChanges } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -16,6 +16,8 @@
   readonly seeds: readonly string[]
   readonly state: FleetState
   readonly load: EndpointLoad
+  /** Prompts that decode engines read. */
+  readonly directReads: EndpointLoad
   readonly demand: PromptDemand
   readonly changes: StageChanges
   /** Whether this host follows the source and is answered. */
@@ -135,6 +137,7 @@
   private _lost (ip: string, peer: PeerEntry, silentMs: number): void {
     peer.live = false
     this._parts.load.forget(ip)
+    this._parts.directReads.forget(ip)
     this._parts.demand.adopt(ip, [])
     this._parts.changes.adopt(ip, [])
     this._parts.log.belief('host is silent', { peer: ip, silentMs: Math.round(silentMs) })
@@ -164,7 +167,7 @@
 
   private _beacon (ask: boolean, hosts: readonly string[]): Beacon {
     this._seq += 1
-    const { address, zone, connected, state, load, demand, changes, clock } = this._parts
+    const { address, zone, connected, state, load, directReads, demand, changes, clock } = this._parts
     return {
       from: address,
       zone,
@@ -173,7 +176,8 @@
       seq: this._seq,
       config: state.version,
       revision: state.directory.revision,
-      load: load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens]),
+      load: toTuples(load),
+      reading: toTuples(directReads),
       demand: demand.own(clock.nowMs()).map(({ service, promptRate, kvRate, waitingTokens }) => [service, round(promptRate), round(kvRate), waitingTokens]),
       changing: [...changes.own(clock.nowMs())],
       hosts: [...hosts],
@@ -197,7 +201,8 @@
     if (beacon.born < peer.born || (beacon.born === peer.born && beacon.seq <= peer.seq)) return
     if (!peer.live) this._parts.log.belief('host heard', { peer: beacon.from, config: beacon.config, revision: beacon.revision })
     Object.assign(peer, { born: beacon.born, seq: beacon.seq, zone: beacon.zone, connected: beacon.connected, live: true, heardMs: this._parts.clock.nowMs() })
-    this._parts.load.adopt(beacon.from, beacon.load.map(([endpointId, requests, tokens]) => ({ endpointId, requests, tokens })))
+    this._parts.load.adopt(beacon.from, beacon.load.map(toShare))
+    this._parts.directReads.adopt(beacon.from, beacon.reading.map(toShare))
     this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, kvRate, waitingTokens]) => ({ service, promptRate, kvRate, waitingTokens })))
     this._parts.changes.adopt(beacon.from, beacon.changing)
     beacon.hosts.filter(ip => ip !== this._parts.address).forEach(ip => this._entry(ip))
@@ -218,6 +223,14 @@
   }
 }
 
+function toTuples (load: EndpointLoad): Beacon['load'] {
+  return load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens])
+}
+
+function toShare ([endpointId, requests, tokens]: Beacon['load'][number]): LoadShare {
+  return { endpointId, requests, tokens }
+}
+
 function round (rate: number): number {
   return Math.round(rate * 100) / 100
 }
