Add a fault soak over real processes, and keep fences and restarts right when clocks differ

While planning its clock faults: a host that starts again after its time of day was set back was ignored by the others for good, since its start seemed older; and fencing tokens were a host's own time of day, which falls behind another host's. Ruled out: stepping the clocks of the soak's processes, which needs a preloaded library; the two faults have unit tests. Change: npm run soak starts hosts as processes, disturbs store, links, endpoints and hosts by seed, and checks the promises from what callers and endpoints see; a short seeded run is a test. A start with an older stamp counts once its sender was silent. Hosts tell each other the highest fencing token that they know.

--- /dev/null
+++ b/deploy/build-soak.mjs
@@ -0,0 +1,3 @@
+import { bundle } from './bundle.mjs'
+
+await bundle('platform/src/__tests__/soak/main.ts', 'target/soak.mjs')
--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,22 +1,3 @@
-import { build } from 'esbuild'
+import { bundle } from './bundle.mjs'
 
-/** Gives bundled CommonJS libraries the `require` that an ES module lacks. */
-const REQUIRE_BANNER = "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);"
-
-await build({
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/jaymill.mjs',
-  bundle: true,
-  format: 'esm',
-  platform: 'node',
-  target: 'node20',
-  conditions: ['jaymill-source'],
-  mainFields: ['module', 'main'],
-  minifySyntax: true,
-  minifyIdentifiers: true,
-  keepNames: true,
-  minifyWhitespace: true,
-  legalComments: 'none',
-  banner: { js: REQUIRE_BANNER },
-  logLevel: 'warning'
-})
+await bundle('platform/src/main.ts', 'target/jaymill.mjs')
--- a/packages/core/src/gateway/JaymillStageChanges.ts
+++ b/packages/core/src/gateway/JaymillStageChanges.ts
@@ -2,6 +2,28 @@
 export class StageChanges {
   private readonly _own = new Map<string, number>()
   private readonly _others = new Map<string, ReadonlySet<string>>()
+  private _highestFence = 0
+
+  /** Highest fencing token that any host is known to have used; 0 before the first. */
+  get highestFence (): number {
+    return this._highestFence
+  }
+
+  /**
+   * @param wallMs - Time of day of this host, in milliseconds since the Unix epoch.
+   * @returns Fencing token for the next order: higher than every known one, also where hosts' clocks differ or were set back.
+   */
+  nextFence (wallMs: number): number {
+    this._highestFence = Math.max(wallMs, this._highestFence + 1)
+    return this._highestFence
+  }
+
+  /**
+   * @param fence - Highest fencing token that another host knows.
+   */
+  adoptFence (fence: number): void {
+    this._highestFence = Math.max(this._highestFence, fence)
+  }
 
   /**
    * @param engineId - Engine that was ordered to change.
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export * from './JaymillBeaconOrder.js'
 export * from './JaymillBeaconPace.js'
 export * from './JaymillEndpointDirectory.js'
 export * from './JaymillEndpointLoad.js'
--- a/packages/gateway/src/forwarding/JaymillStageDriver.ts
+++ b/packages/gateway/src/forwarding/JaymillStageDriver.ts
@@ -82,11 +82,10 @@
       to,
       outcome,
       promptRate: Math.round(promptRate * 10) / 10,
-
       directory: state.directory.revision,
       ms: Math.round(clock.nowMs() - startMs)
     })
-    engines.changeStage({ endpoint, stage: to, holder: hostId, fence: clock.wallMs() }, limit)
+    engines.changeStage({ endpoint, stage: to, holder: hostId, fence: changes.nextFence(clock.wallMs()) }, limit)
       .then(accepted => tell(accepted ? 'accepted' : 'refused'), err => tell(err instanceof ExchangeError ? err.failure : String(err)))
       .finally(() => { this._ordering = false })
   }
--- a/packages/gateway/src/peers/JaymillBeaconMessage.ts
+++ b/packages/gateway/src/peers/JaymillBeaconMessage.ts
@@ -27,6 +27,8 @@
   demand: z.array(z.tuple([text, count, count, count])),
   /** Engines that the sender has ordered to change their stage. */
   changing: z.array(text),
+  /** Highest fencing token of orders that the sender knows. */
+  fence: count,
   /** IP numbers of some hosts that the sender has heard lately; of all when it was asked. */
   hosts: z.array(text),
   /** Whether an answer is wanted at once. */
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -1,6 +1,6 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import { BeaconPace, type Clock, type EndpointLoad, type LoadShare, type PromptDemand, type SourceReader, type StageChanges } from '@jaymill/core'
+import { BeaconPace, isNewerBeacon, type Clock, type EndpointLoad, type LoadShare, type PromptDemand, type SourceReader, type StageChanges } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -180,6 +180,7 @@
       reading: toTuples(directReads),
       demand: demand.own(clock.nowMs()).map(({ service, promptRate, kvRate, waitingTokens }) => [service, round(promptRate), round(kvRate), waitingTokens]),
       changing: [...changes.own(clock.nowMs())],
+      fence: changes.highestFence,
       hosts: [...hosts],
       ask,
       leaving: this._leaving
@@ -198,13 +199,14 @@
   private _adopt (beacon: Beacon): void {
     const known = this._peers.has(beacon.from)
     const peer = this._entry(beacon.from)
-    if (beacon.born < peer.born || (beacon.born === peer.born && beacon.seq <= peer.seq)) return
+    if (!isNewerBeacon(beacon, peer, peer.live)) return
     if (!peer.live) this._parts.log.belief('host heard', { peer: beacon.from, config: beacon.config, revision: beacon.revision })
     Object.assign(peer, { born: beacon.born, seq: beacon.seq, zone: beacon.zone, connected: beacon.connected, live: true, heardMs: this._parts.clock.nowMs() })
     this._parts.load.adopt(beacon.from, beacon.load.map(toShare))
     this._parts.directReads.adopt(beacon.from, beacon.reading.map(toShare))
     this._parts.demand.adopt(beacon.from, beacon.demand.map(([service, promptRate, kvRate, waitingTokens]) => ({ service, promptRate, kvRate, waitingTokens })))
     this._parts.changes.adopt(beacon.from, beacon.changing)
+    this._parts.changes.adoptFence(beacon.fence)
     beacon.hosts.filter(ip => ip !== this._parts.address).forEach(ip => this._entry(ip))
     if (beacon.ask || !known) this._sendTo(beacon.from, Buffer.from(JSON.stringify(this._beacon(false, this.live))))
     this._compare(beacon)
