Move several engines of a large pool at once, and send fewer datagrams in a large fleet

Ruled out: a lower threshold alone, which would move one engine each 20 s. Change: StageBalance plans up to a quarter of a stage at once, slowest readers first; the orders go out one after the other, and the other hosts are told before the first. Hosts of a large fleet send 60 datagrams a second instead of 150.

--- a/packages/core/src/gateway/JaymillBeaconPace.ts
+++ b/packages/core/src/gateway/JaymillBeaconPace.ts
@@ -1,5 +1,5 @@
 import {
-  BEACON_DATAGRAMS_PER_S, BEACON_GATHER_MS, BEACON_INTERVAL_MS, BEACON_SILENT_INTERVALS, PEER_SILENT_MS
+  BEACON_DATAGRAMS_LARGE_PER_S, BEACON_DATAGRAMS_PER_S, BEACON_GATHER_MS, BEACON_INTERVAL_MS, BEACON_SILENT_INTERVALS, LARGE_FLEET_HOSTS, PEER_SILENT_MS
 } from './constants.js'
 
 const SECOND_MS = 1_000
@@ -16,7 +16,8 @@
    * @returns Shortest time between two beacons, in milliseconds.
    */
   gapMs (peers: number): number {
-    return Math.max(BEACON_GATHER_MS, peers * SECOND_MS / BEACON_DATAGRAMS_PER_S)
+    const rate = peers < LARGE_FLEET_HOSTS ? BEACON_DATAGRAMS_PER_S : BEACON_DATAGRAMS_LARGE_PER_S
+    return Math.max(BEACON_GATHER_MS, peers * SECOND_MS / rate)
   }
 
   /**
--- a/packages/core/src/gateway/JaymillSourceReaders.ts
+++ b/packages/core/src/gateway/JaymillSourceReaders.ts
@@ -1,4 +1,4 @@
-import { READ_ALL_HOSTS, READERS_PER_ZONE, READER_TRIES_PER_ZONE } from './constants.js'
+import { LARGE_FLEET_HOSTS, READERS_PER_ZONE, READER_TRIES_PER_ZONE } from './constants.js'
 
 /** What one host tells the others about itself and the source of configuration and endpoints. */
 export interface SourceReader {
@@ -35,7 +35,7 @@
 export class FewReadersPerZone extends SourceReaders {
   /** {@inheritDoc SourceReaders.reads} */
   reads (own: SourceReader, peers: readonly SourceReader[]): boolean {
-    if (peers.length < READ_ALL_HOSTS) return true
+    if (peers.length < LARGE_FLEET_HOSTS) return true
     const before = peers.filter(({ zone, address }) => zone === own.zone && address < own.address)
     const served = before.filter(({ connected }) => connected).length
     return served < READERS_PER_ZONE && before.length < READER_TRIES_PER_ZONE
--- a/packages/core/src/gateway/JaymillStageBalance.ts
+++ b/packages/core/src/gateway/JaymillStageBalance.ts
@@ -1,4 +1,4 @@
-import { BALANCE_FIRST_MS, BALANCE_GAIN, BALANCE_MIN_USE, BALANCE_PAUSE_MS, BALANCE_SETTLE_MS, BALANCE_SMOOTH_MS, BALANCE_WARM_MS, PREFILL_USE_WEIGHT, STAGE_MIN_ENGINES } from './constants.js'
+import { BALANCE_FIRST_MS, BALANCE_GAIN, BALANCE_MIN_USE, BALANCE_MOVED_SHARE, BALANCE_PAUSE_MS, BALANCE_SETTLE_MS, BALANCE_SMOOTH_MS, BALANCE_WARM_MS, PREFILL_USE_WEIGHT, STAGE_MIN_ENGINES } from './constants.js'
 import { EngineStage } from './JaymillEndpointRecord.js'
 
 /** One engine of a split pool, as the balance sees it. */
@@ -31,7 +31,7 @@
 /**
  * Answer to prompts and answers that need the two stages in another proportion than the pool has: works out which share of
  * each stage the demand takes (by Little's law for the KV cache: what arrives times how long it stays, so that full engines
- * don't hide demand), and moves one engine when that lowers the larger of both shares clearly.
+ * don't hide demand), and moves engines, several at once in a large pool, when that lowers the larger of both shares clearly.
  */
 export class StageBalance {
   private _promptRate = 0
@@ -60,20 +60,18 @@
   /**
    * @param use - Use at this moment.
    * @param nowMs - Monotonic time in milliseconds.
-   * @returns The change to be made now, or `undefined`.
+   * @returns Changes to be made now; none when none pays.
    */
-  due (use: PoolUse, nowMs: number): StageChange | undefined {
+  due (use: PoolUse, nowMs: number): readonly StageChange[] {
     const warmMs = this._sinceMs === undefined ? 0 : nowMs - this._sinceMs
-    if (warmMs < BALANCE_WARM_MS || nowMs - this._changedMs < BALANCE_PAUSE_MS) return undefined
+    if (warmMs < BALANCE_WARM_MS || nowMs - this._changedMs < BALANCE_PAUSE_MS) return []
+    const stages = warmMs < BALANCE_SETTLE_MS ? [EngineStage.Prefill] : [EngineStage.Prefill, EngineStage.Decode]
     const now = this._largerUse(use.engines, use.kvTokens)
-    const best = use.engines
-      .filter(engine => engine.stage === EngineStage.Prefill || warmMs >= BALANCE_SETTLE_MS)
-      .filter(engine => keepsEnough(moved(use.engines, engine)))
-      .map(engine => ({ engine, use: this._largerUse(moved(use.engines, engine), use.kvTokens) }))
-      .sort((a, b) => a.use - b.use || b.engine.tokenMs - a.engine.tokenMs)[0]
-    if (best === undefined || now < BALANCE_MIN_USE || best.use > now * BALANCE_GAIN) return undefined
+    const plans = stages.map(from => this._plan(use, from, now))
+    const best = plans.reduce((a, b) => b.use < a.use ? b : a)
+    if (now < BALANCE_MIN_USE || best.use > now * BALANCE_GAIN) return []
     this._changedMs = nowMs
-    return { engineId: best.engine.id, to: otherStage(best.engine.stage) }
+    return best.changes
   }
 
   /**
@@ -85,6 +83,23 @@
     this._changedMs = nowMs
   }
 
+  /** Moves engines of one stage, one after the other, as long as each lowers the larger use. */
+  private _plan ({ engines, kvTokens }: PoolUse, from: EngineStage, now: number): MovePlan {
+    const movable = engines.filter(({ stage }) => stage === from).sort((a, b) => this._pays(a, b, from))
+    const most = Math.max(1, Math.floor(movable.length * BALANCE_MOVED_SHARE))
+    return movable.slice(0, most).reduce<MovePlan>((plan, engine) => {
+      const after = moved(plan.engines, engine)
+      const use = this._largerUse(after, kvTokens)
+      if (use >= plan.use || !keepsEnough(after)) return plan
+      return { engines: after, use, changes: [...plan.changes, { engineId: engine.id, to: otherStage(from) }] }
+    }, { engines, use: now, changes: [] })
+  }
+
+  /** Engines that read slowly are the first to stop reading prompts, and the last to begin. */
+  private _pays (a: BalancedEngine, b: BalancedEngine, from: EngineStage): number {
+    return from === EngineStage.Prefill ? b.tokenMs - a.tokenMs : a.tokenMs - b.tokenMs
+  }
+
   private _largerUse (engines: readonly BalancedEngine[], kvTokens: number): number {
     const decode = engines.filter(({ stage }) => stage === EngineStage.Decode)
     const rate = engines.filter(({ stage }) => stage === EngineStage.Prefill).reduce((sum, { tokenMs }) => sum + 1 / tokenMs, 0)
@@ -93,6 +108,13 @@
   }
 }
 
+interface MovePlan {
+  readonly engines: readonly BalancedEngine[]
+  /** Larger use of both stages after the changes. */
+  readonly use: number
+  readonly changes: readonly StageChange[]
+}
+
 function moved (engines: readonly BalancedEngine[], { id }: BalancedEngine): readonly BalancedEngine[] {
   return engines.map(engine => engine.id === id ? { ...engine, stage: otherStage(engine.stage) } : engine)
 }
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -52,8 +52,11 @@
 /** Pause between two changes of stages, in milliseconds; several times what a change takes. */
 export const BALANCE_PAUSE_MS = 20_000
 
-/** Share of the larger use that must be left after a change for it to pay. */
-export const BALANCE_GAIN = 0.85
+/** Share of the larger use that may be left after a change for it to pay; a change costs its engines some seconds. */
+export const BALANCE_GAIN = 0.9
+
+/** Share of a stage's engines that are moved at once: they take no work for some seconds. */
+export const BALANCE_MOVED_SHARE = 0.25
 
 /** Use of the fuller stage below which nothing is changed. */
 export const BALANCE_MIN_USE = 0.5
@@ -88,17 +91,20 @@
 /** Time for which changes of load are gathered into one beacon, in milliseconds; about a round trip within a region. */
 export const BEACON_GATHER_MS = 5
 
-/** Datagrams that one host sends in a second at most; sending and receiving them takes about a hundredth of a core. */
+/** Datagrams that one host of a small fleet sends in a second at most; two beacons in a time that a prompt takes to be read. */
 export const BEACON_DATAGRAMS_PER_S = 150
 
+/** The same in a large fleet, whose hosts share the cost of bytes between availability zones. */
+export const BEACON_DATAGRAMS_LARGE_PER_S = 60
+
 /** Silence after which another host's work is forgotten in a small fleet, in milliseconds; several lost beacons. */
 export const PEER_SILENT_MS = 1_500
 
 /** The same in a large fleet, in intervals between beacons. */
-export const BEACON_SILENT_INTERVALS = 5
+export const BEACON_SILENT_INTERVALS = 4
 
-/** Other hosts from which on only some follow the source; below, the calls of all are few. */
-export const READ_ALL_HOSTS = 16
+/** Other hosts from which on a fleet is large: only some hosts follow the source, and beacons are fewer. */
+export const LARGE_FLEET_HOSTS = 16
 
 /** Hosts of one availability zone that follow the source: one, and one that makes up for its loss. */
 export const READERS_PER_ZONE = 2
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -96,7 +96,7 @@
     log.belief('started', { zone: host.zone, address: host.address, pid: process.pid })
     this._state.onConfig(config => this._ingress.adopt(config), signal)
     this._state.onDirectory(note => this._directoryChanged(note), signal)
-    this._state.onNews(() => this._beacons.newsKnown(), signal)
+    this._state.onNews(() => this._beacons.tellNow(), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('follower ended', { reason: err.message }))
     const documents = new DocumentExchange({ listen: listen.documents, state: this._state, follower: this._follower, clock, log })
     this._beacons.onNewer((peer, beacon) => documents.newer(peer, beacon))
@@ -151,7 +151,8 @@
       pace: new EndpointPace(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * SECOND_MS }),
       hosts: () => this._beacons.hosts,
-      loadChanged: () => this._beacons.loadChanged()
+      loadChanged: () => this._beacons.loadChanged(),
+      tellNow: () => this._beacons.tellNow()
     }
   }
 
--- a/packages/gateway/src/forwarding/JaymillForwardingParts.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingParts.ts
@@ -27,6 +27,8 @@
   readonly changes: StageChanges
   /** Hosts that share the retry budget. */
   readonly hosts: () => number
-  /** Tells other hosts that this host's work has changed. */
+  /** Tells other hosts that this host's work has changed, as soon as the pace of beacons allows it. */
   readonly loadChanged: () => void
+  /** Tells other hosts at once what this host knows. */
+  readonly tellNow: () => void
 }
--- a/packages/gateway/src/forwarding/JaymillStageDriver.ts
+++ b/packages/gateway/src/forwarding/JaymillStageDriver.ts
@@ -52,8 +52,8 @@
       const balance = this._balance(name)
       balance.observe(use, nowMs)
       if (!this._parts.leads() || this._ordering) return
-      const change = balance.due(use, nowMs)
-      if (change !== undefined) this._order(change, use, engine, signal)
+      const changes = balance.due(use, nowMs)
+      if (changes.length > 0) this._orderAll(changes, use, engine, signal)
     })
   }
 
@@ -68,16 +68,26 @@
     return { engines, kvTokens, promptRate, kvRate, heldMs: demand.heldMs(service) }
   }
 
-  private _order ({ engineId, to }: StageChange, { promptRate, kvRate, heldMs }: PoolUse, { stageChangeMs }: EngineTraits, signal: AbortSignal): void {
-    const { state, engines, hostId, log, clock, changes, loadChanged } = this._parts
+  private _orderAll (stageChanges: readonly StageChange[], use: PoolUse, { stageChangeMs }: EngineTraits, signal: AbortSignal): void {
+    const { clock, changes, tellNow } = this._parts
+    const untilMs = clock.nowMs() + stageChangeMs + STAGE_RUNNING_MS
+    this._ordering = true
+    stageChanges.forEach(({ engineId }) => changes.begin(engineId, untilMs))
+    tellNow()
+    stageChanges.reduce(async (before, change) => { await before; await this._order(change, use, signal) }, Promise.resolve())
+      .catch((err: Error) => this._parts.log.warn('stage order failed', { reason: err.message }))
+      .finally(() => { this._ordering = false })
+  }
+
+  private async _order ({ engineId, to }: StageChange, { promptRate }: PoolUse, signal: AbortSignal): Promise<void> {
+    const { state, engines, hostId, log, clock, changes } = this._parts
     const endpoint = state.directory.get(engineId)
     if (endpoint === undefined) return
-    this._ordering = true
     const startMs = clock.nowMs()
-    changes.begin(engineId, startMs + stageChangeMs + STAGE_RUNNING_MS)
-    loadChanged()
     const limit = AbortSignal.any([signal, AbortSignal.timeout(STAGE_ORDER_TIMEOUT_MS)])
-    const tell = (outcome: string): void => log.belief('stage ordered', {
+    const outcome = await engines.changeStage({ endpoint, stage: to, holder: hostId, fence: changes.nextFence(clock.wallMs()) }, limit)
+      .then(accepted => accepted ? 'accepted' : 'refused', err => err instanceof ExchangeError ? err.failure : String(err))
+    log.belief('stage ordered', {
       endpoint: engineId,
       to,
       outcome,
@@ -85,9 +95,6 @@
       directory: state.directory.revision,
       ms: Math.round(clock.nowMs() - startMs)
     })
-    engines.changeStage({ endpoint, stage: to, holder: hostId, fence: changes.nextFence(clock.wallMs()) }, limit)
-      .then(accepted => tell(accepted ? 'accepted' : 'refused'), err => tell(err instanceof ExchangeError ? err.failure : String(err)))
-      .finally(() => { this._ordering = false })
   }
 
   private _balance (service: string): StageBalance {
--- a/packages/gateway/src/peers/JaymillHostBeacons.ts
+++ b/packages/gateway/src/peers/JaymillHostBeacons.ts
@@ -111,8 +111,8 @@
     this._gathering ??= setTimeout(() => this._send(false), this._pace.untilNextMs(this._peers.size, this._parts.clock.nowMs()))
   }
 
-  /** Tells the other hosts at once that this host knows a newer configuration or newer endpoints. */
-  newsKnown (): void {
+  /** Tells the other hosts at once what this host knows. */
+  tellNow (): void {
     setImmediate(() => this._send(false))
   }
 
--- a/packages/gateway/src/peers/constants.ts
+++ b/packages/gateway/src/peers/constants.ts
@@ -5,7 +5,7 @@
 export const BEACON_CHECK_MS = 100
 
 /** Other hosts that one beacon names; each names others in turn, so that all become known within some beacons. */
-export const HOSTS_PER_BEACON = 10
+export const HOSTS_PER_BEACON = 4
 
 /** Time for fetching a document from another host, in milliseconds. */
 export const DOCUMENT_TIMEOUT_MS = 1_000
