--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -11,7 +11,6 @@
 import type { OpenAnswer } from '../endpoints/JaymillOpenAnswer.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
-import type { KvSource } from '../ports/JaymillWireDialect.js'
 import {
   ANSWER_WEIGHT, DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_MARGIN_MS, LONG_ANSWER, MAX_PROMPT_ROUNDS, MIN_CALL_MS,
   PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_PATIENCE, PREFILL_PATIENCE_MS, RESERVATION_MARGIN_MS,
@@ -19,30 +18,13 @@
 } from './constants.js'
 import { Verdict, verdictOf } from './JaymillAnswerVerdict.js'
 import { Forwarder } from './JaymillForwarder.js'
+import type { HeldPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { promptTokensOf, tokensOf } from './JaymillPromptSize.js'
 import { RoomQueue } from './JaymillRoomQueue.js'
 import { RelayEnd, StreamRelay } from './JaymillStreamRelay.js'
 
 const STATUS_OK = 200
 
-/** KV cache of a prompt and the engine that holds it. */
-interface HeldPrompt extends KvSource {
-  readonly endpoint: EndpointRecord
-}
-
-/** Progress of one request through the pools. */
-interface PromptProgress {
-  readonly relay: StreamRelay
-  /** Calls that may have run the request. */
-  runs: number
-  /** Rounds through reservation and prefill. */
-  rounds: number
-  /** Calls that only read the prompt. */
-  prefills: number
-  /** Engines that gave no usable answer to this request. */
-  readonly avoided: Set<string>
-}
-
 /**
  * Serves generation requests on split pools: reserves room at a decode engine, has a prefill engine read the prompt, then
  * runs the request where room is reserved. What was held for a request is given back however the request ends.
