Say only what the questions for room are told

Cause: the comment spoke of engines that are no longer published, which nobody tells RoomQuestions; their two entries stay. Change: a comment. Lint passes; no behaviour changed.

--- a/packages/core/src/gateway/JaymillRoomQuestions.ts
+++ b/packages/core/src/gateway/JaymillRoomQuestions.ts
@@ -26,7 +26,7 @@
   }
 
   /**
-   * @param engineId - Engine at which work of this host has ended, or that is no longer published.
+   * @param engineId - Engine at which work of this host has ended.
    */
   freed (engineId: string): void {
     this._refusedMs.delete(engineId)
