--- a/packages/settings/src/JaymillFields.ts
+++ b/packages/settings/src/JaymillFields.ts
@@ -68,6 +68,15 @@
  */
 export const positiveNumberField = (unit: Unit, description: string) => z.number().positive().meta({ description, unit })
 
+/**
+ * Creates the schema of a number that may be 0 or a fraction.
+ *
+ * @param unit - Unit of the number.
+ * @param description - Description for the configuration reference.
+ * @returns The schema.
+ */
+export const nonNegativeNumberField = (unit: Unit, description: string) => z.number().min(0).meta({ description, unit })
+
 /**
  * Creates the schema of an IP address.
  *
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod'
-import { integerField, idField, positiveNumberField, textField, Unit } from './JaymillFields.js'
+import { idField, nonNegativeNumberField, textField, Unit } from './JaymillFields.js'
 import { LogLevel } from './JaymillHostSettings.js'
 
 const SOCKET_ADDRESS_PATTERN = /^(?<address>\d{1,3}(?:\.\d{1,3}){3}):(?<port>\d{1,5})$/
@@ -37,11 +37,11 @@
   seeds: z.array(socketAddressField('Address of another host.')).default([])
     .meta({ description: 'Initial peers, retained for the life of the process; some may be down.' }),
   bounds: z.strictObject({
-    graceSeconds: positiveNumberField(Unit.Seconds, 'Grace period from the stop request to the exit of the process.'),
-    retryRatio: positiveNumberField(Unit.None, 'Maximum ratio of retries to requests across the fleet, for each service.'),
-    retryMinimum: integerField(0, Unit.Requests, 'Retries allowed per window in addition to the ratio, for each service.'),
-    retryWindowSeconds: positiveNumberField(Unit.Seconds, 'Sliding window of the retry budget.')
-  }).meta({ description: 'Grace period and fleet-wide retry budget.' }),
+    graceSeconds: nonNegativeNumberField(Unit.Seconds, 'Grace period from the stop request to the exit of the process.').default(8),
+    retryRatio: nonNegativeNumberField(Unit.None, 'Maximum ratio of retries to requests across the fleet, for each service.').default(0.2),
+    retryMinimum: nonNegativeNumberField(Unit.Requests, 'Retries allowed per window in addition to the ratio, for each service.').default(0),
+    retryWindowSeconds: nonNegativeNumberField(Unit.Seconds, 'Sliding window of the retry budget; 0 allows no retries.').default(10)
+  }).prefault({}).meta({ description: 'Grace period and fleet-wide retry budget.' }),
   log: z.strictObject({
     level: z.enum(LogLevel).default(LogLevel.Info).meta({ description: 'Lowest severity that is logged.' })
   }).prefault({}).meta({ description: 'Logging.' })
