--- a/packages/core/src/gateway/JaymillEndpointLoad.ts
+++ b/packages/core/src/gateway/JaymillEndpointLoad.ts
@@ -16,9 +16,19 @@
 export class EndpointLoad {
   private readonly _own = new Map<string, OutstandingWork>()
   private readonly _others = new Map<string, readonly LoadShare[]>()
+  private readonly _freedListeners: Array<() => void> = []
   /** Sum over the other hosts, by endpoint. */
   private readonly _othersTotals = new Map<string, OutstandingWork>()
 
+  /**
+   * Adds a listener for work that other hosts have completed.
+   *
+   * @param listener - Called after a report that shows less work at some endpoint than the one before.
+   */
+  onFreed (listener: () => void): void {
+    this._freedListeners.push(listener)
+  }
+
   /**
    * Adds a request of this host; it counts until the signal aborts.
    *
@@ -39,15 +49,31 @@
   }
 
   /**
-   * Replaces the work reported by another host.
+   * Adds up the work of this host and of some reports.
    *
-   * @param hostId - The other host.
-   * @param shares - All work of that host.
+   * @param sources - Sources of the reports.
+   * @returns Their work, without idle endpoints.
+   */
+  sum (sources: readonly string[]): readonly LoadShare[] {
+    const totals = new Map(this._own)
+    sources.forEach(source => {
+      this._others.get(source)?.forEach(({ endpointId, requests, tokens }) => addTo(totals, endpointId, requests, tokens))
+    })
+    return [...totals].map(([endpointId, work]) => ({ endpointId, ...work }))
+  }
+
+  /**
+   * Replaces the work reported by another host, or by a relay for several hosts.
+   *
+   * @param hostId - Source of the report.
+   * @param shares - All work that it reports.
    */
   update (hostId: string, shares: readonly LoadShare[]): void {
+    const before = this._others.get(hostId) ?? []
     this.forget(hostId)
     this._others.set(hostId, shares)
     shares.forEach(({ endpointId, requests, tokens }) => addTo(this._othersTotals, endpointId, requests, tokens))
+    if (hasLess(shares, before)) this._freedListeners.forEach(listener => listener())
   }
 
   /**
@@ -73,6 +99,11 @@
   }
 }
 
+/** Whether a report shows less work at some endpoint than the one before. */
+function hasLess (shares: readonly LoadShare[], before: readonly LoadShare[]): boolean {
+  return before.some(({ endpointId, tokens }) => (shares.find(share => share.endpointId === endpointId)?.tokens ?? 0) < tokens)
+}
+
 /** Adds work to the sum of an endpoint; endpoints without requests are removed. */
 function addTo (sums: Map<string, OutstandingWork>, endpointId: string, requests: number, tokens: number): void {
   const work = plus(sums.get(endpointId) ?? NO_WORK, { requests, tokens })
--- a/packages/core/src/gateway/JaymillFleetRetryBudget.ts
+++ b/packages/core/src/gateway/JaymillFleetRetryBudget.ts
@@ -1,4 +1,6 @@
-import { BUDGET_BUCKETS } from './constants.js'
+import { BUDGET_BUCKETS, BUDGET_HOSTS_MEMORY_MS } from './constants.js'
+
+const MS_PER_SECOND = 1_000
 
 /** Limits on the retries of all hosts together, for each service. */
 export interface RetryBounds {
@@ -18,18 +20,25 @@
 
 /**
  * Limits the retries of all hosts to a share of their requests plus a fixed number. Each host may use the share of its own
- * requests and an equal part of the fixed number, so that the hosts need no coordination.
+ * requests and an equal part of the fixed number, so that the hosts need no coordination. The part stays safe while hosts join,
+ * restart or are cut off: a process uses none of it in its first window, since an earlier process of the host may just have
+ * used it and the other hosts may not know this one, and a host that is no longer known counts for some time.
  */
 export class FleetRetryBudget {
   private readonly _bounds: RetryBounds
+  private readonly _startedMs: number
   private readonly _bucketMs: number
   private readonly _services = new Map<string, Bucket[]>()
+  private _highestHosts = 1
+  private _highestHostsMs = Number.NEGATIVE_INFINITY
 
   /**
    * @param bounds - Limits for the whole fleet.
+   * @param startedMs - Monotonic time at which the process started, in milliseconds.
    */
-  constructor (bounds: RetryBounds) {
+  constructor (bounds: RetryBounds, startedMs: number) {
     this._bounds = bounds
+    this._startedMs = startedMs
     this._bucketMs = bounds.windowMs / BUDGET_BUCKETS
   }
 
@@ -40,7 +49,7 @@
    * @param nowMs - Monotonic time in milliseconds.
    */
   countRequest (service: string, nowMs: number): void {
-    this._bucket(service, nowMs).requests += 1
+    if (this._bucketMs > 0) this._bucket(service, nowMs).requests += 1
   }
 
   /**
@@ -52,20 +61,48 @@
    * @returns Whether the retry is allowed.
    */
   trySpend (service: string, hosts: number, nowMs: number): boolean {
-    const bucket = this._bucket(service, nowMs)
-    const recentBuckets = this._recentBuckets(service, nowMs)
-    const requests = recentBuckets.reduce((sum, recentBucket) => sum + recentBucket.requests, 0)
-    const retries = recentBuckets.reduce((sum, recentBucket) => sum + recentBucket.retries, 0)
-    const allowed = this._bounds.ratio * requests + this._bounds.minRetries / Math.max(1, hosts)
-    if (retries + 1 > allowed) return false
-    bucket.retries += 1
+    if (this._bucketMs === 0) return false
+    const allowed = this._bounds.ratio * this._requests(service, nowMs) + this._shareOfMinimum(hosts, nowMs)
+    if (this._retries(service, nowMs) + 1 > allowed) return false
+    this._bucket(service, nowMs).retries += 1
     return true
   }
 
+  /**
+   * @param service - A service.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Rate of callers' requests to the service at this host over the window, per second.
+   */
+  requestRate (service: string, nowMs: number): number {
+    return this._bucketMs === 0 ? 0 : this._requests(service, nowMs) / this._bounds.windowMs * MS_PER_SECOND
+  }
+
+  private _shareOfMinimum (hosts: number, nowMs: number): number {
+    if (hosts >= this._highestHosts || nowMs - this._highestHostsMs > BUDGET_HOSTS_MEMORY_MS) {
+      this._highestHosts = Math.max(1, hosts)
+      this._highestHostsMs = nowMs
+    }
+    return nowMs - this._startedMs < this._bounds.windowMs ? 0 : this._bounds.minRetries / this._highestHosts
+  }
+
+  /** Requests of at most one window, so that the budget is never overestimated. */
+  private _requests (service: string, nowMs: number): number {
+    return this._bucketsSince(service, this._epoch(nowMs) - BUDGET_BUCKETS + 1).reduce((sum, { requests }) => sum + requests, 0)
+  }
+
+  /** Retries of at least one window. */
+  private _retries (service: string, nowMs: number): number {
+    return this._bucketsSince(service, this._epoch(nowMs) - BUDGET_BUCKETS).reduce((sum, { retries }) => sum + retries, 0)
+  }
+
+  private _epoch (nowMs: number): number {
+    return Math.floor(nowMs / this._bucketMs)
+  }
+
   private _bucket (service: string, nowMs: number): Bucket {
     const buckets = this._services.get(service) ?? []
     this._services.set(service, buckets)
-    const epoch = Math.floor(nowMs / this._bucketMs)
+    const epoch = this._epoch(nowMs)
     const last = buckets[buckets.length - 1]
     if (last?.epoch === epoch) return last
     const next = { epoch, requests: 0, retries: 0 }
@@ -74,8 +111,7 @@
     return next
   }
 
-  private _recentBuckets (service: string, nowMs: number): readonly Bucket[] {
-    const oldestEpoch = Math.floor(nowMs / this._bucketMs) - BUDGET_BUCKETS
+  private _bucketsSince (service: string, oldestEpoch: number): readonly Bucket[] {
     return (this._services.get(service) ?? []).filter(({ epoch }) => epoch >= oldestEpoch)
   }
 }
--- a/packages/core/src/gateway/JaymillPendingRoleChanges.ts
+++ b/packages/core/src/gateway/JaymillPendingRoleChanges.ts
@@ -57,6 +57,15 @@
     return [...this._own].filter(([, untilMs]) => untilMs > nowMs).map(([engineId]) => engineId)
   }
 
+  /**
+   * @param sources - Sources of reports.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Engines whose role change this host or one of the sources has ordered.
+   */
+  sum (sources: readonly string[], nowMs: number): readonly string[] {
+    return [...new Set([...this.own(nowMs), ...sources.flatMap(source => [...this._others.get(source) ?? []])])]
+  }
+
   /**
    * Replaces the role changes reported by another host.
    *
--- a/packages/core/src/gateway/JaymillPromptDemand.ts
+++ b/packages/core/src/gateway/JaymillPromptDemand.ts
@@ -87,16 +87,25 @@
     this._others.set(hostId, shares)
   }
 
+  /**
+   * Adds up the demand at this host and in some reports.
+   *
+   * @param sources - Sources of the reports.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Their demand for each service.
+   */
+  sum (sources: readonly string[], nowMs: number): readonly DemandShare[] {
+    const shares = [...this.own(nowMs), ...sources.flatMap(source => this._others.get(source) ?? [])]
+    return [...new Set(shares.map(({ service }) => service))].map(service => ({ service, ...sumOf(shares, service) }))
+  }
+
   /**
    * @param service - A service.
    * @param nowMs - Monotonic time in milliseconds.
    * @returns Demand at all hosts.
    */
   total (service: string, nowMs: number): Omit<DemandShare, 'service'> {
-    const shares = [...this._others.values(), this.own(nowMs)].flatMap(hostShares => hostShares.filter(share => share.service === service))
-    return shares.reduce((sum, { promptRate, kvRate, waitingTokens }) => ({
-      promptRate: sum.promptRate + promptRate, kvRate: sum.kvRate + kvRate, waitingTokens: sum.waitingTokens + waitingTokens
-    }), { promptRate: 0, kvRate: 0, waitingTokens: 0 })
+    return sumOf([...this._others.values(), this.own(nowMs)].flat(), service)
   }
 
   private _rates (service: string, nowMs: number): Omit<Rates, 'atMs'> {
@@ -106,3 +115,9 @@
     return { prompt: rates.prompt * decay, kv: rates.kv * decay }
   }
 }
+
+function sumOf (shares: readonly DemandShare[], service: string): Omit<DemandShare, 'service'> {
+  return shares.filter(share => share.service === service).reduce((sum, { promptRate, kvRate, waitingTokens }) => ({
+    promptRate: sum.promptRate + promptRate, kvRate: sum.kvRate + kvRate, waitingTokens: sum.waitingTokens + waitingTokens
+  }), { promptRate: 0, kvRate: 0, waitingTokens: 0 })
+}
--- a/packages/core/src/gateway/JaymillQueueOrder.ts
+++ b/packages/core/src/gateway/JaymillQueueOrder.ts
@@ -38,8 +38,8 @@
 }
 
 enum PriorityClass {
-  /** Its caller is about to disconnect. */
-  NearDeadline,
+  /** The retry of a caller that is about to disconnect for good. */
+  LastChance,
   /** It can still meet its latency target. */
   WithinTarget,
   /** It has missed its latency target. */
@@ -49,7 +49,8 @@
 /**
  * Serves as many requests as possible within their latency target while a burst exceeds the engines' memory for a few seconds.
  * Requests that can still meet their target come first, low-cost before expensive ones. Late requests wait until the burst is
- * over, but get capacity before their callers disconnect.
+ * over: giving them capacity first would make those late that arrive after them, and the queue would not recover from a burst.
+ * A caller that is refused comes back once; a retry gets capacity before its caller disconnects, since that is its last chance.
  */
 export class LatencyTargetOrder extends QueueOrder {
   /** {@inheritDoc QueueOrder.sort} */
@@ -65,9 +66,9 @@
   }
 }
 
-function priorityClassOf ({ targetDeadlineMs, callerDeadlineMs }: WaitingRequest, nowMs: number): PriorityClass {
+function priorityClassOf ({ targetDeadlineMs, callerDeadlineMs, isRetry }: WaitingRequest, nowMs: number): PriorityClass {
   if (nowMs <= targetDeadlineMs) return PriorityClass.WithinTarget
-  return callerDeadlineMs - nowMs <= DEADLINE_PRIORITY_MS ? PriorityClass.NearDeadline : PriorityClass.Late
+  return isRetry && callerDeadlineMs - nowMs <= DEADLINE_PRIORITY_MS ? PriorityClass.LastChance : PriorityClass.Late
 }
 
 /**
--- a/packages/core/src/gateway/JaymillSourceReaderSelection.ts
+++ b/packages/core/src/gateway/JaymillSourceReaderSelection.ts
@@ -1,4 +1,4 @@
-import { LARGE_FLEET_HOSTS, READER_CANDIDATES_PER_ZONE, READERS_PER_ZONE } from './constants.js'
+import { LARGE_FLEET_HOSTS, READER_CANDIDATES_PER_ZONE, READERS_PER_ZONE, ZONES_WITH_ONE_READER } from './constants.js'
 
 /** State of one host with regard to the configuration source, as reported to the other hosts. */
 export interface SourceReader {
@@ -41,6 +41,8 @@
     if (peers.length < LARGE_FLEET_HOSTS) return true
     const preceding = peers.filter(({ zone, address }) => zone === own.zone && address < own.address)
     const connectedBefore = preceding.filter(({ connected }) => connected).length
-    return connectedBefore < READERS_PER_ZONE && preceding.length < READER_CANDIDATES_PER_ZONE
+    const zones = new Set([own, ...peers].map(({ zone }) => zone)).size
+    const readers = zones >= ZONES_WITH_ONE_READER ? 1 : READERS_PER_ZONE
+    return connectedBefore < readers && preceding.length < READER_CANDIDATES_PER_ZONE
   }
 }
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -13,6 +13,12 @@
 /** Number of buckets in the sliding window of a retry budget. */
 export const BUDGET_BUCKETS = 20
 
+/**
+ * Time for which a host that is no longer known still shares the retry budget, in milliseconds: it may be cut off and retry
+ * requests on its own.
+ */
+export const BUDGET_HOSTS_MEMORY_MS = 120_000
+
 /** Penalty for another availability zone, in milliseconds: a round trip, plus an allowance for the price of the traffic. */
 export const CROSS_ZONE_PENALTY_MS = 2
 
@@ -58,8 +64,8 @@
 /** Largest share of a role's engines to move at once: they accept no work for some seconds. */
 export const BALANCE_MAX_MOVED_SHARE = 0.25
 
-/** Utilization of the busier role below which no role is changed. */
-export const BALANCE_MIN_UTILIZATION = 0.5
+/** Utilization of the busier role below which no role is changed: even a burst would then leave both roles with free capacity. */
+export const BALANCE_MIN_UTILIZATION = 0.25
 
 /** Time over which a host averages the arrival rates of its requests, in milliseconds. */
 export const DEMAND_SMOOTH_MS = 2_000
@@ -76,6 +82,21 @@
 /** Weight of a new measurement in the moving average of the KV cache holding time. */
 export const HOLDING_TIME_WEIGHT = 0.1
 
+/** Share of an expected output that counts as occupied KV cache: more than the average over its growth, less than its end. */
+export const OUTPUT_OCCUPIED_SHARE = 0.9
+
+/** Share of an expected output for which KV cache is reserved: enough to be admitted and to begin. */
+export const OUTPUT_RESERVED_SHARE = 0.25
+
+/** KV cache that the baseline reserves for an output, as a multiple of its expected length. */
+export const OUTPUT_MARGIN = 1.25
+
+/** Samples that the assumption counts for that outputs are as long as their hints. */
+export const OUTPUT_LENGTH_PRIOR_SAMPLES = 3
+
+/** Variance of the logarithm of a hint that these samples have. */
+export const OUTPUT_LENGTH_PRIOR_VARIANCE = 0.25
+
 /** Time that the first utilization sample represents in the moving average, in milliseconds. */
 export const BALANCE_FIRST_SAMPLE_MS = 500
 
@@ -94,21 +115,42 @@
 /** Maximum datagrams per second of one host in a small fleet; allows two heartbeats during the prefill of one prompt. */
 export const HOST_HEARTBEAT_DATAGRAMS_PER_S = 150
 
-/** Maximum datagrams per second of one host in a large fleet, whose hosts share the cost of traffic between availability zones. */
-export const HOST_HEARTBEAT_DATAGRAMS_LARGE_PER_S = 60
-
 /** Time without a heartbeat after which a host of a small fleet counts as lost, in milliseconds; several lost heartbeats. */
 export const HOST_HEARTBEAT_TIMEOUT_MS = 1_500
 
-/** Heartbeat intervals after which a host of a large fleet counts as lost. */
-export const HOST_HEARTBEAT_TIMEOUT_INTERVALS = 4
-
-/** Number of other hosts at which a fleet counts as large: only some hosts read from the source, and heartbeats are less frequent. */
+/** Number of other hosts from which on hosts report to relays instead of to each other, and only some read from the source. */
 export const LARGE_FLEET_HOSTS = 16
 
-/** Hosts per availability zone that read from the source: one, and another in case it is lost. */
+/** Hosts per availability zone that relay the reports of the others: one, and another in case it is lost. */
+export const RELAYS_PER_ZONE = 2
+
+/** Shortest interval between two reports of one host to its relays, in milliseconds. */
+export const REPORT_INTERVAL_MS = 500
+
+/** Interval between reports of an idle host to its relays, in milliseconds. */
+export const REPORT_IDLE_INTERVAL_MS = 1_000
+
+/** Time without an answer after which a relay is replaced, and without a report after which a host's work is dropped, in milliseconds. */
+export const RELAY_TIMEOUT_MS = 2_500
+
+/** Time for which a relay that did not answer is not used again, in milliseconds. */
+export const RELAY_RETRY_MS = 10_000
+
+/** Time without a sign of a host of a large fleet after which it counts as lost, in milliseconds; a relay timeout and some digests. */
+export const RELAYED_HOST_TIMEOUT_MS = 6_000
+
+/** Time by which the work at the endpoints is known late in a large fleet, in milliseconds: a report, two digests and their delays. */
+export const RELAYED_LOAD_AGE_MS = 2_000
+
+/** Smallest random sample of endpoints from which the best is chosen ("power of two choices"). */
+export const MIN_SAMPLED_ENDPOINTS = 2
+
+/** Hosts per availability zone that read from the source while few zones are known: one, and another in case it is lost. */
 export const READERS_PER_ZONE = 2
 
+/** Number of availability zones from which on one reader each is enough, since the readers of the others replace a lost one. */
+export const ZONES_WITH_ONE_READER = 3
+
 /** Hosts per availability zone that keep trying during an outage of the source. */
 export const READER_CANDIDATES_PER_ZONE = 5
 
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import {
   Clock, DirectoryEvent, EndpointLatencyModel, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RouteKind, type DirectoryChange
+  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, type DirectoryChange
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
@@ -79,10 +79,11 @@
     this._state = new FleetState(clock, log)
     const { host: { id, zone, address }, listen } = settings
     const shouldFollow = (): boolean => new PerZoneReaderSelection().shouldRead({ address, zone, connected: this._follower.connected }, this._heartbeats.readers)
-    this._follower = new FleetFollower({ source, state: this._state, shouldFollow, clock, random, log })
     const seeds = settings.seeds.map(seed => seed.address)
+    const hasSeeds = seeds.length > 0 && !seeds.includes(address)
+    this._follower = new FleetFollower({ source, state: this._state, hasSeeds, shouldFollow, clock, random, log })
     const connected = (): boolean => this._follower.connected
-    this._heartbeats = new HostHeartbeats({ address, zone, listen: listen.beacon, seeds, state: this._state, load, directPrefills, demand, roleChanges, connected, clock, log })
+    this._heartbeats = new HostHeartbeats({ address, zone, listen: listen.beacon, seeds, state: this._state, work: { load, directPrefills, demand, roleChanges }, connected, clock, log })
     this._forwardingContext = this._createForwardingContext(load, directPrefills, demand, roleChanges)
     this._roleController = new RoleController({ ...this._forwardingContext, hostId: id, isLeader: () => this._heartbeats.isLeader })
     this._ingress = new Ingress(this._forwardingContext, this._forwarderSelector())
@@ -97,10 +98,10 @@
     log.stateChange('started', { zone: host.zone, address: host.address, pid: process.pid })
     this._state.onConfig(config => this._ingress.applyLimits(config), signal)
     this._state.onDirectory(change => this._directoryChanged(change), signal)
-    this._state.onSourceUpdate(() => this._heartbeats.sendNow(), signal)
+    this._state.onUpdate(origin => this._heartbeats.stateUpdated(origin), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('source follower failed', { reason: err.message }))
     const documents = new DocumentExchange({ listen: listen.documents, state: this._state, follower: this._follower, clock, log })
-    this._heartbeats.onNewerState((peer, heartbeat) => documents.scheduleFetch(peer, heartbeat))
+    this._heartbeats.onNewerState((peer, message) => documents.scheduleFetch(peer, message))
     await Promise.all([
       this._ingress.start(listen.caller, signal),
       this._startReadiness(signal),
@@ -150,8 +151,9 @@
       roleChanges,
       reliability: new EndpointReliability(),
       latencyModel: new EndpointLatencyModel(),
-      budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }),
+      budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
       hostCount: () => this._heartbeats.hostCount,
+      loadAgeMs: () => this._heartbeats.usesRelays ? RELAYED_LOAD_AGE_MS : 0,
       scheduleHeartbeat: () => this._heartbeats.scheduleSend(),
       sendHeartbeatNow: () => this._heartbeats.sendNow()
     }
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
@@ -0,0 +1,65 @@
+import { encode } from '@msgpack/msgpack'
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { decodeHostMessage, encodeHostMessage, WorkScope, type HostMessage } from '../../peers/JaymillHostMessage.js'
+import { withoutOwn } from '../../peers/JaymillReportedWork.js'
+
+const MTU_BYTES = 1_472
+
+const MESSAGE: HostMessage = {
+  from: '10.1.0.38',
+  zone: 'mobile-bay',
+  born: 1_775_639_595_123,
+  seq: 4_711,
+  connected: true,
+  ask: false,
+  leaving: false,
+  config: 6,
+  revision: 133,
+  graceMs: 0,
+  fence: 1_775_639_616_239,
+  batches: [{ baseRevision: 132, changes: [{ id: 'i-1' }] }],
+  hosts: [{ zone: 'mobile-bay', addresses: ['10.1.0.39', '10.1.0.40'], connected: ['10.1.0.40'] }],
+  work: {
+    scope: WorkScope.Host,
+    part: 0,
+    parts: 1,
+    load: [{ endpointId: 'i-559cb29810', requests: 2, tokens: 11_745 }],
+    directPrefills: [{ endpointId: 'i-465fa000e6', requests: 1, tokens: 5_200 }],
+    demand: [{ service: 'xara81a', promptRate: 42.71, kvRate: 78.5, waitingTokens: 9_000 }],
+    changing: ['i-b24fb240ce']
+  }
+}
+
+test('a message is decoded as it was encoded', () => {
+  expect(decodeHostMessage(encodeHostMessage(MESSAGE))).toEqual(MESSAGE)
+})
+
+test('a report of a busy host and a part of a digest fit into one datagram', () => {
+  const load = Array.from({ length: 60 }, (_, i) => ({ endpointId: `i-${(0x559cb298 + i).toString(16)}10`, requests: 9, tokens: 41_000 }))
+  const digest = { ...MESSAGE, batches: [], hosts: [], work: { ...MESSAGE.work, scope: WorkScope.Fleet, load } }
+  expect(encodeHostMessage(digest).length).toBeLessThan(MTU_BYTES)
+  const addresses = Array.from({ length: 195 }, (_, i) => `10.1.${i >> 8}.${i & 0xff}`)
+  expect(encodeHostMessage({ ...MESSAGE, hosts: [{ zone: 'z', addresses, connected: [] }] }).length).toBeLessThan(MTU_BYTES)
+})
+
+test('any bytes are either a message or refused, without an exception', () => {
+  const message = encodeHostMessage(MESSAGE)
+  const truncated = fc.nat(message.length).map(length => message.slice(0, length))
+  const changed = fc.tuple(fc.nat(message.length - 1), fc.nat(255)).map(([i, byte]) => Uint8Array.from(message, (old, j) => i === j ? byte : old))
+  fc.assert(fc.property(fc.oneof(fc.uint8Array({ maxLength: 200 }), truncated, changed), bytes => {
+    const decoded = decodeHostMessage(bytes)
+    expect(decoded === undefined || Number.isFinite(decoded.seq)).toBe(true)
+  }))
+})
+
+test.each([[{}], [[]], ['text'], [[2, ...Array.from({ length: 14 }, () => 0)]], [JSON.stringify(MESSAGE)]])('refuses another format: %j', value => {
+  expect(decodeHostMessage(encode(value))).toBeUndefined()
+})
+
+test('the work of the fleet without that of this host never gets negative', () => {
+  const own = { ...MESSAGE.work, load: [{ endpointId: 'a', requests: 2, tokens: 500 }, { endpointId: 'b', requests: 1, tokens: 70 }] }
+  const fleet = { ...MESSAGE.work, load: [{ endpointId: 'a', requests: 5, tokens: 900 }, { endpointId: 'b', requests: 0, tokens: 0 }, { endpointId: 'c', requests: 1, tokens: 9 }] }
+  expect(withoutOwn(fleet, own).load).toEqual([{ endpointId: 'a', requests: 3, tokens: 400 }, { endpointId: 'c', requests: 1, tokens: 9 }])
+  expect(withoutOwn(fleet, own).demand).toEqual([{ service: 'xara81a', promptRate: 0, kvRate: 0, waitingTokens: 0 }])
+})
--- a/packages/gateway/src/fleet/JaymillFleetFollower.ts
+++ b/packages/gateway/src/fleet/JaymillFleetFollower.ts
@@ -4,7 +4,7 @@
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetSource } from '../ports/JaymillFleetSource.js'
 import {
-  CHANGES_WAIT_MS, EXPIRE_INTERVAL_MS, FOLLOW_CHECK_INTERVAL_MS, SOURCE_OUTAGE_MS, SOURCE_RESPONSE_MARGIN_MS, SOURCE_BACKOFF_FIRST_MS, SOURCE_BACKOFF_MAX_MS
+  CHANGES_WAIT_MS, EXPIRE_INTERVAL_MS, FOLLOW_CHECK_INTERVAL_MS, PEER_STATE_CHECK_MS, PEER_STATE_JITTER_MS, PEER_STATE_WAIT_MS, SOURCE_OUTAGE_MS, SOURCE_RESPONSE_MARGIN_MS, SOURCE_BACKOFF_FIRST_MS, SOURCE_BACKOFF_MAX_MS
 } from './constants.js'
 import { FleetState, Origin } from './JaymillFleetState.js'
 
@@ -12,6 +12,8 @@
 export interface FleetFollowerContext {
   readonly source: FleetSource
   readonly state: FleetState
+  /** Whether another host may have the state already when this host starts. */
+  readonly hasSeeds: boolean
   /** Whether this host has to follow the source; otherwise it gets the state from other hosts. */
   readonly shouldFollow: () => boolean
   readonly clock: Clock
@@ -53,6 +55,7 @@
   async run (signal: AbortSignal): Promise<void> {
     const timer = setInterval(() => this._context.state.expire(), EXPIRE_INTERVAL_MS)
     signal.addEventListener('abort', () => clearInterval(timer), { once: true })
+    if (this._context.hasSeeds) await this._waitForPeerState(signal)
     while (!signal.aborted) {
       this._updateFollowing()
       if (this._following) await this._poll(signal)
@@ -60,6 +63,17 @@
     }
   }
 
+  /** Waits until another host has sent its state. Hosts that start together would otherwise all read from the source. */
+  private async _waitForPeerState (signal: AbortSignal): Promise<void> {
+    const { state, clock, random } = this._context
+    const endMs = clock.nowMs() + PEER_STATE_WAIT_MS + random.next() * PEER_STATE_JITTER_MS
+    while (!signal.aborted && state.config === undefined && clock.nowMs() < endMs) {
+      await sleep(PEER_STATE_CHECK_MS, undefined, { signal }).catch(() => { /* The loop ends with the signal. */ })
+    }
+    if (state.config !== undefined && state.directory.revision > 0) this._revision = state.directory.revision
+    this._lastResponseMs = clock.nowMs()
+  }
+
   /** Starts or stops following the source. A host that starts continues from the revision that it got from other hosts. */
   private _updateFollowing (): void {
     const { state, shouldFollow, log } = this._context
--- a/packages/gateway/src/fleet/JaymillFleetState.ts
+++ b/packages/gateway/src/fleet/JaymillFleetState.ts
@@ -1,7 +1,8 @@
 import { Clock, EndpointDirectory, RouteTable, type DirectoryChange, type EndpointChange, type GatewayConfig } from '@jaymill/core'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetChanges, FleetSnapshot } from '../ports/JaymillFleetSource.js'
-import { MAX_STORED_CHANGES } from './constants.js'
+import type { ChangeBatch } from '../peers/JaymillHostMessage.js'
+import { MAX_STORED_CHANGES, RECENT_CHANGES_MS } from './constants.js'
 
 /** Where a state change was read. */
 export enum Origin {
@@ -12,6 +13,9 @@
 /** Called after an endpoint was added, changed or removed. */
 export type DirectoryListener = (directoryChange: DirectoryChange) => void
 
+/** Called after a newer revision was applied. */
+export type UpdateListener = (origin: Origin) => void
+
 /** Called after a new configuration takes effect. */
 export type ConfigListener = (config: GatewayConfig) => void
 
@@ -28,11 +32,17 @@
   readonly graceMs: number
 }
 
-/** Endpoint changes of one update. */
-interface ChangeBatch {
-  /** Revision that the changes apply to. */
-  readonly baseRevision: number
-  readonly changes: readonly EndpointChange[]
+/** Endpoint changes of one update, with the monotonic time at which they were applied, in milliseconds. */
+interface AppliedBatch extends ChangeBatch {
+  readonly appliedMs: number
+}
+
+/** State of another host. */
+export interface PeerState {
+  readonly config: number
+  readonly revision: number
+  /** Time for which records that expired during an outage of the source are retained, in milliseconds. */
+  readonly graceMs: number
 }
 
 /** Configuration and endpoints on this host. A configuration is only replaced by one of a higher version. */
@@ -42,8 +52,8 @@
   private readonly _directory = new EndpointDirectory()
   private readonly _listeners: DirectoryListener[] = []
   private readonly _configListeners: ConfigListener[] = []
-  private readonly _sourceUpdateListeners: Array<() => void> = []
-  private _recentChanges: readonly ChangeBatch[] = []
+  private readonly _updateListeners: UpdateListener[] = []
+  private _recentChanges: readonly AppliedBatch[] = []
   private _config: GatewayConfig | undefined
   private _table: RouteTable | undefined
 
@@ -87,13 +97,13 @@
   }
 
   /**
-   * Adds a listener for updates from the source.
+   * Adds a listener for updates.
    *
-   * @param listener - Called after a newer revision of the endpoints was read from the source.
+   * @param listener - Called after a newer revision of the endpoints was applied.
    * @param signal - Removes the listener when it aborts.
    */
-  onSourceUpdate (listener: () => void, signal: AbortSignal): void {
-    register(this._sourceUpdateListeners, listener, signal)
+  onUpdate (listener: UpdateListener, signal: AbortSignal): void {
+    register(this._updateListeners, listener, signal)
   }
 
   /**
@@ -117,7 +127,7 @@
     const isNewer = revision > this._directory.revision
     if (isNewer) this._recentChanges = []
     this._notify(this._directory.applySnapshot(endpoints, revision, this._clock.nowMs()), origin)
-    if (isNewer && origin === Origin.Source) this._sourceUpdateListeners.forEach(listener => listener())
+    if (isNewer) this._updateListeners.forEach(listener => listener(origin))
   }
 
   /**
@@ -130,9 +140,9 @@
     if (config !== undefined) this._applyConfig(config, origin)
     const baseRevision = this._directory.revision
     const isNewer = revision > baseRevision
-    if (isNewer) this._recentChanges = [...this._recentChanges, { baseRevision, changes: endpoints }].slice(-MAX_STORED_CHANGES)
+    if (isNewer) this._recentChanges = [...this._recentChanges, { baseRevision, changes: endpoints, appliedMs: this._clock.nowMs() }].slice(-MAX_STORED_CHANGES)
     this._notify(this._directory.apply(endpoints, revision, this._clock.nowMs()), origin)
-    if (isNewer && origin === Origin.Source) this._sourceUpdateListeners.forEach(listener => listener())
+    if (isNewer) this._updateListeners.forEach(listener => listener(origin))
   }
 
   /**
@@ -175,6 +185,34 @@
     }
   }
 
+  /**
+   * Returns the newest endpoint changes, for hosts that are only a little behind.
+   *
+   * @param maxBytes - Maximum size as JSON, in bytes.
+   * @returns The changes of recent updates, oldest first, as many of the newest ones as fit.
+   */
+  latestBatches (maxBytes: number): readonly ChangeBatch[] {
+    const sinceMs = this._clock.nowMs() - RECENT_CHANGES_MS
+    const recent = this._recentChanges.filter(({ appliedMs }) => appliedMs >= sinceMs)
+    const batches = recent.map(({ baseRevision, changes }) => ({ baseRevision, changes }))
+    const sizes = batches.map(batch => JSON.stringify(batch).length)
+    return batches.filter((_, i) => sizes.slice(i).reduce((sum, size) => sum + size, 0) <= maxBytes)
+  }
+
+  /**
+   * Applies endpoint changes from another host, if this host has the revision that one of them applies to. A newer configuration
+   * is fetched together with the endpoints instead, so that a host which goes on reading from the source at its revision does not
+   * skip the configuration.
+   *
+   * @param batches - Latest changes of the other host.
+   * @param peer - State of the other host after the changes.
+   */
+  applyBatches (batches: readonly ChangeBatch[], { config, revision, graceMs }: PeerState): void {
+    const first = batches.findIndex(({ baseRevision }) => baseRevision === this._directory.revision)
+    if (first < 0 || revision <= this._directory.revision || config > this.version) return
+    this.applyDocument({ changes: batches.slice(first).flatMap(({ changes }) => changes), revision, graceMs })
+  }
+
   /** Returns the changes since a revision; `undefined` when they are no longer stored. */
   private _changesAfter (revision: number): readonly EndpointChange[] | undefined {
     if (revision === this._directory.revision) return []
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -21,3 +21,15 @@
 
 /** Interval between checks whether this host has to follow the source, in milliseconds. */
 export const FOLLOW_CHECK_INTERVAL_MS = 250
+
+/** Time for which the changes of an update are sent along with messages to other hosts, in milliseconds; some digests. */
+export const RECENT_CHANGES_MS = 3_000
+
+/** Shortest time for which a starting host waits for the state of another host before it reads from the source, in milliseconds. */
+export const PEER_STATE_WAIT_MS = 800
+
+/** Random time added to it, in milliseconds; spreads the reads of a fleet whose seeds are all down. */
+export const PEER_STATE_JITTER_MS = 1_200
+
+/** Interval between checks for the state of another host, in milliseconds. */
+export const PEER_STATE_CHECK_MS = 25
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,4 +1,4 @@
-import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError } from '@jaymill/core'
+import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, sampleEndpoints, sampleSize } from '@jaymill/core'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import { AbortReason, type GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
@@ -6,6 +6,8 @@
 import { PLAIN_INITIAL_MS } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
 
+const MS_PER_SECOND = 1_000
+
 /** Forwards requests of one kind to endpoints. */
 export abstract class Forwarder {
   protected readonly _context: ForwardingContext
@@ -63,9 +65,26 @@
 
   /** Returns the best-ranked endpoint of a plain service that has not been tried. */
   protected _selectEndpoint (request: GatewayRequest, triedIds: readonly string[]): EndpointRecord | undefined {
-    const { state, zone, random } = this._context
-    const untried = state.directory.usable(request.service.name).filter(({ id }) => !triedIds.includes(id))
-    return this._ranking.rank(this._candidates(untried, 0), zone, random)[0]
+    const untried = this._context.state.directory.usable(request.service.name).filter(({ id }) => !triedIds.includes(id))
+    return this._rank(request, untried, 0)[0]
+  }
+
+  /** Ranks endpoints, best first. While the work of other hosts is known late, only a random sample is compared. */
+  protected _rank (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
+    const { zone, random, reliability, clock } = this._context
+    const nowMs = clock.nowMs()
+    const size = sampleSize(records.length, this._unseenRequests(request.service.name))
+    if (size >= records.length) return this._ranking.rank(this._candidates(records, tokens), zone, random)
+    const suspects = records.filter(({ id }) => reliability.isSuspect(id, nowMs))
+    const trusted = records.filter(({ id }) => !reliability.isSuspect(id, nowMs))
+    const { sampled, rest } = sampleEndpoints(trusted, zone, size, random)
+    return [...this._ranking.rank(this._candidates(sampled, tokens), zone, random), ...rest, ...suspects]
+  }
+
+  /** Estimates how many requests other hosts have sent that the reported load does not show yet. */
+  private _unseenRequests (service: string): number {
+    const { budget, hostCount, loadAgeMs, clock } = this._context
+    return budget.requestRate(service, clock.nowMs()) * hostCount() * loadAgeMs() / MS_PER_SECOND
   }
 
   protected _candidates (records: readonly EndpointRecord[], tokens: number): readonly Candidate[] {
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -27,6 +27,8 @@
   readonly roleChanges: PendingRoleChanges
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
+  /** Time by which the work of the other hosts is known late, in milliseconds. */
+  readonly loadAgeMs: () => number
   /** Sends a heartbeat with the changed load as soon as the rate limit allows it. */
   readonly scheduleHeartbeat: () => void
   /** Sends a heartbeat without waiting for the rate limit. */
--- a/packages/gateway/src/peers/JaymillDocumentExchange.ts
+++ b/packages/gateway/src/peers/JaymillDocumentExchange.ts
@@ -9,7 +9,7 @@
 import type { FleetDocument, FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import { COMPRESS_BYTES, DOCUMENT_FETCH_DELAY_MS, DOCUMENT_TIMEOUT_MS } from './constants.js'
-import type { HostHeartbeatMessage } from './JaymillHostHeartbeatMessage.js'
+import type { HostMessage } from './JaymillHostMessage.js'
 
 const DOCUMENTS_PATH = '/documents'
 const GZIP = 'gzip'
@@ -34,8 +34,8 @@
   private readonly _context: DocumentExchangeContext
   private _fetching = false
   private _newerSinceMs: number | undefined
-  /** Newest heartbeat that reported a newer state while a document was being fetched. */
-  private _pending: { readonly host: string, readonly heartbeat: HostHeartbeatMessage } | undefined
+  /** Newest message that reported a newer state while a document was being fetched. */
+  private _pending: { readonly host: string, readonly message: HostMessage } | undefined
 
   /**
    * @param context - Dependencies.
@@ -59,25 +59,25 @@
    * `DOCUMENT_FETCH_DELAY_MS` for the source; any other host fetches at once, or after the fetch in progress.
    *
    * @param host - IP address of the other host.
-   * @param heartbeat - Heartbeat that reported the newer state.
+   * @param message - Message that reported the newer state.
    */
-  scheduleFetch (host: string, heartbeat: HostHeartbeatMessage): void {
+  scheduleFetch (host: string, message: HostMessage): void {
     const { clock, follower, state } = this._context
     const nowMs = clock.nowMs()
     this._newerSinceMs ??= nowMs
     const shouldWait = follower.connected && state.config !== undefined && nowMs - this._newerSinceMs < DOCUMENT_FETCH_DELAY_MS
     if (this._fetching) {
-      this._pending = { host, heartbeat }
+      this._pending = { host, message }
       return
     }
-    if (shouldWait) setTimeout(() => this.scheduleFetch(host, heartbeat), DOCUMENT_FETCH_DELAY_MS).unref()
-    else this._fetchIfNewer(host, heartbeat)
+    if (shouldWait) setTimeout(() => this.scheduleFetch(host, message), DOCUMENT_FETCH_DELAY_MS).unref()
+    else this._fetchIfNewer(host, message)
   }
 
-  private _fetchIfNewer (host: string, heartbeat: HostHeartbeatMessage): void {
+  private _fetchIfNewer (host: string, message: HostMessage): void {
     const { state, log } = this._context
     this._newerSinceMs = undefined
-    if (heartbeat.config <= state.version && heartbeat.revision <= state.directory.revision) return
+    if (message.config <= state.version && message.revision <= state.directory.revision) return
     this._fetching = true
     this._fetch(host)
       .catch((err: Error) => log.warn('documents not fetched', { peer: host, reason: err.message }))
@@ -88,7 +88,7 @@
     const pending = this._pending
     this._fetching = false
     this._pending = undefined
-    if (pending !== undefined) this._fetchIfNewer(pending.host, pending.heartbeat)
+    if (pending !== undefined) this._fetchIfNewer(pending.host, pending.message)
   }
 
   private async _fetch (host: string): Promise<void> {
--- a/packages/gateway/src/peers/JaymillHostHeartbeats.ts
+++ b/packages/gateway/src/peers/JaymillHostHeartbeats.ts
@@ -1,11 +1,17 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import { HostHeartbeatRateLimiter, isNewerHostHeartbeat, type Clock, type EndpointLoad, type LoadShare, type PendingRoleChanges, type PromptDemand, type SourceReader } from '@jaymill/core'
+import { HostHeartbeatRateLimiter, RELAY_TIMEOUT_MS, type Clock, type SourceReader } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
-import type { FleetState } from '../fleet/JaymillFleetState.js'
+import { Origin, type FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
-import { HOST_HEARTBEAT_CHECK_MS, HOSTS_PER_HEARTBEAT, PEER_FORGET_MS } from './constants.js'
-import { parseHostHeartbeat, type HostHeartbeatMessage } from './JaymillHostHeartbeatMessage.js'
+import {
+  BATCHES_MAX_BYTES, FLEET_DIGEST_INTERVAL_MS, HOST_HEARTBEAT_CHECK_MS, HOSTS_PER_HEARTBEAT, PEER_FORGET_MS, UPDATE_COALESCE_MS, ZONE_DIGEST_INTERVAL_MS
+} from './constants.js'
+import { decodeHostMessage, encodeHostMessage, WorkScope, type HostMessage, type ReportedWork, type ZoneHosts } from './JaymillHostMessage.js'
+import { HostTable, type HostEntry } from './JaymillHostTable.js'
+import { PeriodicTask } from './JaymillPeriodicTask.js'
+import { withoutOwn } from './JaymillReportedWork.js'
+import { applyWork, forgetWork, partKey, partKeys, ZoneRelay, type WorkState } from './JaymillZoneRelay.js'
 
 /** State that heartbeats report and update, and further dependencies. */
 export interface HostHeartbeatsContext {
@@ -15,11 +21,7 @@
   /** IP addresses of the initial peers; others are discovered through heartbeats. */
   readonly seeds: readonly string[]
   readonly state: FleetState
-  readonly load: EndpointLoad
-  /** Prefills on decode engines. */
-  readonly directPrefills: EndpointLoad
-  readonly demand: PromptDemand
-  readonly roleChanges: PendingRoleChanges
+  readonly work: WorkState
   /** Whether this host follows the source and its last request succeeded. */
   readonly connected: () => boolean
   readonly clock: Clock
@@ -27,50 +29,58 @@
 }
 
 /** Called when another host has a newer configuration or newer endpoints. */
-export type NewerStateListener = (hostAddress: string, heartbeat: HostHeartbeatMessage) => void
-
-interface PeerEntry {
-  lastReceivedMs: number
-  born: number
-  seq: number
-  live: boolean
-  zone: string
-  connected: boolean
-}
+export type NewerStateListener = (hostAddress: string, message: HostMessage) => void
+
+const NO_WORK: ReportedWork = { scope: WorkScope.None, part: 0, parts: 1, load: [], directPrefills: [], demand: [], changing: [] }
+const LIVE_HOSTS: ReportedWork = { ...NO_WORK, scope: WorkScope.Hosts }
+
+/** Scopes of messages whose lists only name hosts that may exist. */
+const UNPROVEN_SCOPES = [WorkScope.None, WorkScope.Host]
+const FLEET = 'fleet'
 
 /**
- * Sends heartbeats with the state of this host to all other hosts as UDP datagrams, and receives theirs. A change of load is sent
- * as soon as the rate limit allows it, and a heartbeat is sent at least once per heartbeat interval. Each datagram holds the whole
- * state, so that the next one makes up for a lost one.
+ * Tells the other hosts the work and the state of this host in UDP datagrams, and receives theirs. In a small fleet each host
+ * reports to every other one. In a large one it reports to the relays of its availability zone and gets digests of the work of
+ * the whole fleet from them. Each message is complete by itself, so that the next one makes up for a lost one.
  */
 export class HostHeartbeats {
   private readonly _context: HostHeartbeatsContext
   private readonly _startedAtMs = Date.now()
-  private readonly _peers = new Map<string, PeerEntry>()
+  private readonly _table: HostTable
+  private readonly _relay: ZoneRelay
   private readonly _newerStateListeners: NewerStateListener[] = []
   private readonly _socket: Socket = createSocket('udp4')
+  private readonly _rateLimiter = new HostHeartbeatRateLimiter()
+  private readonly _zoneDigest = new PeriodicTask(ZONE_DIGEST_INTERVAL_MS)
+  private readonly _fleetDigest = new PeriodicTask(FLEET_DIGEST_INTERVAL_MS)
   private _seq = 0
-  private _sendTimer: NodeJS.Timeout | undefined
+  private _reportTimer: NodeJS.Timeout | undefined
+  private _updateTimer: NodeJS.Timeout | undefined
   private _leaving = false
-  private readonly _rateLimiter = new HostHeartbeatRateLimiter()
   private _sampleStart = 0
+  private _fleetParts = 0
+  /** Work in the last report of this host, which the digests of its relays contain. */
+  private _lastReported = NO_WORK
 
   /**
    * @param context - Dependencies.
    */
   constructor (context: HostHeartbeatsContext) {
+    const { address, seeds, work, clock } = context
     this._context = context
-    context.seeds.filter(ip => ip !== context.address).forEach(ip => this._peerEntry(ip))
+    this._table = new HostTable(address)
+    this._relay = new ZoneRelay(() => this._self(), this._table, work, clock)
+    seeds.filter(ip => ip !== address).forEach(ip => this._table.add(ip, clock.nowMs()))
   }
 
-  /** IP addresses of the peers that sent a heartbeat within the timeout. */
+  /** IP addresses of the peers with a sign of life within the timeout. */
   get livePeers (): readonly string[] {
-    return [...this._peers].filter(([, peer]) => peer.live).map(([ip]) => ip)
+    return this._table.live.map(({ address }) => address)
   }
 
   /** Zone and source connection of each live peer. */
   get readers (): readonly SourceReader[] {
-    return [...this._peers].filter(([, peer]) => peer.live).map(([address, { zone, connected }]) => ({ address, zone, connected }))
+    return this._table.readers
   }
 
   /** Whether this host is the leader: it has the lowest address of the live hosts, and these are a majority of all hosts. */
@@ -81,7 +91,12 @@
 
   /** Number of hosts that may be serving requests, this one included. */
   get hostCount (): number {
-    return this._peers.size + 1
+    return this._table.size + 1
+  }
+
+  /** Whether the work of the other hosts is known through relays, and therefore late. */
+  get usesRelays (): boolean {
+    return this._rateLimiter.usesRelays(this._table.size)
   }
 
   /**
@@ -94,7 +109,7 @@
   }
 
   /**
-   * Starts to receive and to send heartbeats.
+   * Starts to receive and to send messages.
    *
    * @param signal - Stops both when it aborts.
    */
@@ -105,137 +120,228 @@
     this._socket.bind(listen.port, listen.address)
     await once(this._socket, 'listening', { signal })
     const timer = setInterval(() => this._tick(), HOST_HEARTBEAT_CHECK_MS)
-    signal.addEventListener('abort', () => { clearInterval(timer); this._socket.close() }, { once: true })
-    this._send(true)
+    signal.addEventListener('abort', () => {
+      [timer, this._reportTimer, this._updateTimer].forEach(pending => clearTimeout(pending))
+      this._socket.close()
+    }, { once: true })
+    this._report(true)
   }
 
-  /** Sends a heartbeat as soon as the rate limit allows it. Called when the load of this host changes. */
+  /** Reports the work of this host as soon as the rate limit allows it. Called when it changes. */
   scheduleSend (): void {
-    this._sendTimer ??= setTimeout(() => this._send(false), this._rateLimiter.untilNextMs(this._peers.size, this._context.clock.nowMs()))
+    this._reportTimer ??= setTimeout(() => this._report(false), this._rateLimiter.untilNextMs(this._table.size, this._context.clock.nowMs()))
   }
 
-  /** Sends a heartbeat at once. */
+  /** Reports the work of this host at once. */
   sendNow (): void {
-    setImmediate(() => this._send(false))
+    setImmediate(() => this._report(false))
   }
 
-  /** Sends a heartbeat that announces the shutdown of this host. */
+  /**
+   * Tells other hosts about a newer state of this host: a host that has read it from the source tells all that it reports to, and
+   * a relay tells the hosts that report to it.
+   *
+   * @param origin - Where the state was read.
+   */
+  stateUpdated (origin: Origin): void {
+    if (origin === Origin.Source) this.sendNow()
+    if (this.usesRelays) this._updateTimer ??= setTimeout(() => this._sendUpdate(), UPDATE_COALESCE_MS)
+  }
+
+  /** Announces the shutdown of this host. */
   leave (): void {
     this._leaving = true
-    this._send(false)
+    this._report(false)
+    if (this.usesRelays) this._sendUpdate()
+  }
+
+  private _self (): SourceReader {
+    const { address, zone, connected } = this._context
+    return { address, zone, connected: connected() }
   }
 
   private _tick (): void {
     const nowMs = this._context.clock.nowMs()
-    this._peers.forEach((peer, ip) => this._checkPeer(ip, peer, nowMs))
-    if (this._rateLimiter.isDue(this._peers.size, nowMs)) this._send(this._context.state.config === undefined)
+    this._table.entries.forEach(entry => this._checkHost(entry, nowMs))
+    this._relay.expire()
+    if (this._rateLimiter.isDue(this._table.size, nowMs)) this._report(this._context.state.config === undefined)
+    if (this.usesRelays && this._relay.reporters.length > 0) this._sendDigests(nowMs)
+  }
+
+  private _checkHost (entry: HostEntry, nowMs: number): void {
+    const silentMs = nowMs - entry.lastSeenMs
+    const reportTimeoutMs = this.usesRelays ? RELAY_TIMEOUT_MS : this._rateLimiter.peerTimeoutMs(this._table.size)
+    if (nowMs - entry.lastReportMs > reportTimeoutMs) this._forgetReport(entry)
+    if (entry.live && silentMs > this._rateLimiter.peerTimeoutMs(this._table.size)) {
+      entry.live = false
+      this._context.log.stateChange('host is silent', { peer: entry.address, silentMs: Math.round(silentMs) })
+    }
+    if (silentMs > PEER_FORGET_MS && !this._context.seeds.includes(entry.address)) this._table.remove(entry.address)
+  }
+
+  private _forgetReport (entry: HostEntry): void {
+    if (entry.lastReportMs === Number.NEGATIVE_INFINITY) return
+    entry.lastReportMs = Number.NEGATIVE_INFINITY
+    forgetWork(this._context.work, entry.address)
+  }
+
+  /** Reports the work of this host to all other hosts of a small fleet, or to its relays. */
+  private _report (ask: boolean): void {
+    clearTimeout(this._reportTimer)
+    this._reportTimer = undefined
+    const nowMs = this._context.clock.nowMs()
+    this._rateLimiter.recordSent(nowMs)
+    this._lastReported = this._ownWork()
+    const hosts = this.usesRelays ? [] : this._listOf(this._hostSample())
+    this._sendTo(this._receivers(nowMs), this._message(this._lastReported, hosts, ask))
   }
 
-  private _checkPeer (ip: string, peer: PeerEntry, nowMs: number): void {
-    const sinceHeartbeatMs = nowMs - peer.lastReceivedMs
-    if (peer.live && sinceHeartbeatMs > this._rateLimiter.peerTimeoutMs(this._peers.size)) this._markUnreachable(ip, peer, sinceHeartbeatMs)
-    if (sinceHeartbeatMs > PEER_FORGET_MS && !this._context.seeds.includes(ip)) this._peers.delete(ip)
+  private _receivers (nowMs: number): readonly string[] {
+    const all = this._table.entries.map(({ address }) => address)
+    if (!this.usesRelays) return all
+    const relays = this._table.relaysOf(this._context.zone, this._leaving ? undefined : this._self(), nowMs)
+    const others = relays.filter(address => address !== this._context.address)
+    others.forEach(address => this._table.recordSent(address, nowMs))
+    const isAlone = others.length === 0 && this._relay.reporters.length === 0
+    return isAlone ? [...this._context.seeds, ...all.slice(0, HOSTS_PER_HEARTBEAT)].filter(address => address !== this._context.address) : others
+  }
+
+  private _sendDigests (nowMs: number): void {
+    if (this._zoneDigest.isDue(nowMs)) {
+      const hosts = this._relay.zoneHosts
+      this._relay.zoneWork().forEach(work => this._sendTo(this._relay.partners, this._message(work, work.part === 0 ? hosts : [], false)))
+    }
+    if (this._fleetDigest.isDue(nowMs)) this._sendFleetDigest(this._relay.reporters)
   }
 
-  private _markUnreachable (ip: string, peer: PeerEntry, sinceHeartbeatMs: number): void {
-    peer.live = false
-    this._context.load.forget(ip)
-    this._context.directPrefills.forget(ip)
-    this._context.demand.update(ip, [])
-    this._context.roleChanges.update(ip, [])
-    this._context.log.stateChange('host is silent', { peer: ip, silentMs: Math.round(sinceHeartbeatMs) })
+  private _sendFleetDigest (receivers: readonly string[]): void {
+    this._sendTo(receivers, this._message(LIVE_HOSTS, this._relay.fleetHosts, false))
+    this._relay.fleetWork().forEach(work => this._sendTo(receivers, this._message(work, [], false)))
   }
 
-  private _send (requestReply: boolean): void {
-    clearTimeout(this._sendTimer)
-    this._sendTimer = undefined
-    this._rateLimiter.recordSent(this._context.clock.nowMs())
-    const bytes = Buffer.from(JSON.stringify(this._message(requestReply, this._hostSample())))
-    this._peers.forEach((_, ip) => this._sendTo(ip, bytes))
+  private _sendUpdate (): void {
+    clearTimeout(this._updateTimer)
+    this._updateTimer = undefined
+    this._sendTo([...new Set([...this._relay.reporters, ...this._relay.partners])], this._message(NO_WORK, [], false))
   }
 
-  private _sendTo (ip: string, bytes: Buffer): void {
-    this._socket.send(bytes, this._context.listen.port, ip, err => {
+  private _sendTo (receivers: readonly string[], message: HostMessage): void {
+    const bytes = encodeHostMessage(message)
+    receivers.forEach(ip => this._socket.send(bytes, this._context.listen.port, ip, err => {
       if (err !== null && err !== undefined) this._context.log.warn('heartbeat not sent', { peer: ip, reason: err.message })
-    })
+    }))
   }
 
   /** Returns a sample of the live peers; successive calls rotate through all of them. */
-  private _hostSample (): readonly string[] {
-    const live = this.livePeers
+  private _hostSample (): readonly HostEntry[] {
+    const { live } = this._table
     if (live.length <= HOSTS_PER_HEARTBEAT) return live
     this._sampleStart = (this._sampleStart + HOSTS_PER_HEARTBEAT) % live.length
     return [...live, ...live].slice(this._sampleStart, this._sampleStart + HOSTS_PER_HEARTBEAT)
   }
 
-  private _message (ask: boolean, hosts: readonly string[]): HostHeartbeatMessage {
+  private _listOf (entries: readonly HostEntry[]): readonly ZoneHosts[] {
+    const zones = [...new Set(entries.map(({ zone }) => zone))]
+    return zones.map(zone => ({ zone, addresses: entries.filter(entry => entry.zone === zone).map(({ address }) => address), connected: [] }))
+  }
+
+  private _ownWork (): ReportedWork {
+    const { work: { load, directPrefills, demand, roleChanges }, clock } = this._context
+    const nowMs = clock.nowMs()
+    return {
+      scope: WorkScope.Host,
+      part: 0,
+      parts: 1,
+      load: load.own(),
+      directPrefills: directPrefills.own(),
+      demand: demand.own(nowMs),
+      changing: roleChanges.own(nowMs)
+    }
+  }
+
+  private _message (work: ReportedWork, hosts: readonly ZoneHosts[], ask: boolean): HostMessage {
     this._seq += 1
-    const { address, zone, connected, state, load, directPrefills, demand, roleChanges, clock } = this._context
+    const { state, work: { roleChanges }, clock } = this._context
+    const { address, zone, connected } = this._self()
     return {
       from: address,
       zone,
-      connected: connected(),
       born: this._startedAtMs,
       seq: this._seq,
+      connected,
+      ask,
+      leaving: this._leaving,
       config: state.version,
       revision: state.directory.revision,
-      load: toTuples(load),
-      reading: toTuples(directPrefills),
-      demand: demand.own(clock.nowMs()).map(({ service, promptRate, kvRate, waitingTokens }) => [service, round(promptRate), round(kvRate), waitingTokens]),
-      changing: [...roleChanges.own(clock.nowMs())],
+      graceMs: state.directory.graceMs(clock.nowMs()),
       fence: roleChanges.highestFencingToken,
-      hosts: [...hosts],
-      ask,
-      leaving: this._leaving
+      batches: state.latestBatches(BATCHES_MAX_BYTES),
+      hosts,
+      work
     }
   }
 
   private _receive (bytes: Buffer): void {
-    const heartbeat = parseHostHeartbeat(bytes)
-    if (heartbeat === undefined) {
+    const message = decodeHostMessage(bytes)
+    if (message === undefined) {
       this._context.log.warn('malformed heartbeat', { bytes: bytes.length })
       return
     }
-    if (heartbeat.from !== this._context.address) this._apply(heartbeat)
-  }
-
-  private _apply (heartbeat: HostHeartbeatMessage): void {
-    const isKnownPeer = this._peers.has(heartbeat.from)
-    const peer = this._peerEntry(heartbeat.from)
-    if (!isNewerHostHeartbeat(heartbeat, peer, peer.live)) return
-    if (!peer.live) this._context.log.stateChange('host heard', { peer: heartbeat.from, config: heartbeat.config, revision: heartbeat.revision })
-    Object.assign(peer, { born: heartbeat.born, seq: heartbeat.seq, zone: heartbeat.zone, connected: heartbeat.connected, live: true, lastReceivedMs: this._context.clock.nowMs() })
-    this._context.load.update(heartbeat.from, heartbeat.load.map(toShare))
-    this._context.directPrefills.update(heartbeat.from, heartbeat.reading.map(toShare))
-    this._context.demand.update(heartbeat.from, heartbeat.demand.map(([service, promptRate, kvRate, waitingTokens]) => ({ service, promptRate, kvRate, waitingTokens })))
-    this._context.roleChanges.update(heartbeat.from, heartbeat.changing)
-    this._context.roleChanges.observeFencingToken(heartbeat.fence)
-    heartbeat.hosts.filter(ip => ip !== this._context.address).forEach(ip => this._peerEntry(ip))
-    if (heartbeat.ask || !isKnownPeer) this._sendTo(heartbeat.from, Buffer.from(JSON.stringify(this._message(false, this.livePeers))))
-    this._notifyIfNewer(heartbeat)
-  }
-
-  private _notifyIfNewer (heartbeat: HostHeartbeatMessage): void {
-    const { state } = this._context
-    if (heartbeat.config <= state.version && heartbeat.revision <= state.directory.revision) return
-    this._newerStateListeners.forEach(listener => listener(heartbeat.from, heartbeat))
+    if (message.from !== this._context.address) this._apply(message)
   }
 
-  private _peerEntry (ip: string): PeerEntry {
-    const peer = this._peers.get(ip) ?? { lastReceivedMs: this._context.clock.nowMs(), born: 0, seq: 0, live: false, zone: '', connected: false }
-    this._peers.set(ip, peer)
-    return peer
+  private _apply (message: HostMessage): void {
+    const { from, batches, config, revision, graceMs, fence, ask } = message
+    const nowMs = this._context.clock.nowMs()
+    const isKnown = this._table.has(from)
+    const wasLive = isKnown && this._table.add(from, nowMs).live
+    const entry = this._table.receive(message, nowMs)
+    if (entry === undefined) return
+    if (!wasLive) this._context.log.stateChange('host heard', { peer: from, config, revision })
+    this._context.work.roleChanges.observeFencingToken(fence)
+    this._context.state.applyBatches(batches, { config, revision, graceMs })
+    this._applyHosts(message, nowMs)
+    this._applyWork(message, entry, nowMs)
+    if (ask || !isKnown) this._reply(from)
+    this._notifyIfNewer(message)
   }
-}
 
-function toTuples (load: EndpointLoad): HostHeartbeatMessage['load'] {
-  return load.own().map(({ endpointId, requests, tokens }) => [endpointId, requests, tokens])
-}
+  private _applyHosts ({ hosts, work }: HostMessage, nowMs: number): void {
+    if (UNPROVEN_SCOPES.includes(work.scope)) hosts.forEach(({ addresses }) => addresses.filter(ip => ip !== this._context.address).forEach(ip => this._table.add(ip, nowMs)))
+    else this._table.applyLists(hosts, nowMs)
+  }
 
-function toShare ([endpointId, requests, tokens]: HostHeartbeatMessage['load'][number]): LoadShare {
-  return { endpointId, requests, tokens }
-}
+  private _applyWork (message: HostMessage, entry: HostEntry, nowMs: number): void {
+    const { work } = message
+    if (work.scope === WorkScope.Host) {
+      const isFirst = this._relay.reporters.length === 0
+      entry.lastReportMs = nowMs
+      applyWork(this._context.work, entry.address, work)
+      if (isFirst) this._forgetFleet(0)
+    }
+    if (work.scope === WorkScope.Zone) this._relay.applyZoneDigest(message)
+    if (work.scope === WorkScope.Fleet && this._relay.reporters.length === 0) {
+      this._forgetFleet(work.parts)
+      this._fleetParts = work.parts
+      applyWork(this._context.work, partKey(FLEET, work.part), withoutOwn(work, this._lastReported))
+    }
+  }
 
-function round (rate: number): number {
-  return Math.round(rate * 100) / 100
+  /** Drops the parts of the digests of the fleet from a number on. */
+  private _forgetFleet (parts: number): void {
+    partKeys(FLEET, this._fleetParts).slice(parts).forEach(key => forgetWork(this._context.work, key))
+    this._fleetParts = Math.min(this._fleetParts, parts)
+  }
+
+  private _reply (ip: string): void {
+    const hosts = this._listOf(this._table.live)
+    this._sendTo([ip], this._message(this.usesRelays ? NO_WORK : this._ownWork(), hosts, false))
+    if (this.usesRelays && this._relay.reporters.length > 0) this._sendFleetDigest([ip])
+  }
+
+  private _notifyIfNewer (message: HostMessage): void {
+    const { state } = this._context
+    if (message.config <= state.version && message.revision <= state.directory.revision) return
+    this._newerStateListeners.forEach(listener => listener(message.from, message))
+  }
 }
--- a/packages/gateway/src/peers/constants.ts
+++ b/packages/gateway/src/peers/constants.ts
@@ -7,6 +7,24 @@
 /** Live peers that one heartbeat lists; successive ones list others, so that all hosts are discovered within a few heartbeats. */
 export const HOSTS_PER_HEARTBEAT = 4
 
+/** Interval between the digests that relays of different availability zones exchange, in milliseconds. */
+export const ZONE_DIGEST_INTERVAL_MS = 1_000
+
+/** Interval between the digests that a relay sends to the hosts that report to it, in milliseconds; each host has two relays. */
+export const FLEET_DIGEST_INTERVAL_MS = 2_000
+
+/** Time after which the digest of another zone is dropped, in milliseconds; some lost ones. */
+export const ZONE_DIGEST_TIMEOUT_MS = 5_000
+
+/** Endpoints whose work one message reports; keeps a digest within one datagram. */
+export const MAX_SHARES_PER_MESSAGE = 60
+
+/** Maximum size of the endpoint changes in one message, in bytes; larger ones are fetched. */
+export const BATCHES_MAX_BYTES = 600
+
+/** Time for which updates from the source are coalesced before a relay passes them on, in milliseconds. */
+export const UPDATE_COALESCE_MS = 50
+
 /** Timeout for fetching a document from another host, in milliseconds. */
 export const DOCUMENT_TIMEOUT_MS = 1_000
 
