--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  callerTimeoutMs, CallOutcome, CapacityProbeLimiter, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement,
+  callerTimeoutMs, CallOutcome, CapacityProbeLimiter, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement, OutputLengthModel,
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -12,14 +12,15 @@
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import {
-  DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_MARGIN_MS, LONG_OUTPUT_FACTOR, MAX_PROMPT_ROUNDS, MIN_CALL_MS, OUTPUT_LENGTH_WEIGHT,
+  DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_MARGIN_MS, LONG_OUTPUT_FACTOR, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, OUTPUT_LENGTH_WEIGHT,
   PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RESERVATION_MARGIN_MS,
   RESERVE_TIMEOUT_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
 import { Forwarder } from './JaymillForwarder.js'
+import type { ForwardingContext } from './JaymillForwardingContext.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
-import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
+import { kvTokensOf, promptTokensOf, reservedTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
@@ -32,11 +33,20 @@
  */
 export class PromptForwarder extends Forwarder {
   private readonly _queues = new Map<string, CapacityQueue>()
+  private readonly _outputLengthModels = new Map<string, OutputLengthModel>()
   /** Moving average of estimated output lengths, in tokens. */
   private _meanOutputTokens = 0
   private readonly _probeLimiter = new CapacityProbeLimiter()
   private readonly _prefillPlacement: PrefillPlacement = new LatencyTargetPlacement()
 
+  /**
+   * @param context - Components of the host.
+   */
+  constructor (context: ForwardingContext) {
+    super(context)
+    context.load.onFreed(() => this._queues.forEach(queue => queue.capacityFreed()))
+  }
+
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs ({ metadata, service }: GatewayRequest): number {
     const expectedOutputTokens = metadata.prompt?.expectedOutputTokens ?? 0
@@ -44,11 +54,27 @@
   }
 
   /** {@inheritDoc Forwarder.forward} */
-  async forward (request: GatewayRequest): Promise<void> {
+  async forward (original: GatewayRequest): Promise<void> {
     const { budget, demand, clock } = this._context
+    const request = this._withExpectedOutput(original)
+    const hintTokens = original.metadata.prompt?.expectedOutputTokens ?? 0
     budget.countRequest(request.service.name, clock.nowMs())
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
-    await this._round(request, { relay: new StreamRelay(request), runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
+    await this._round(request, { relay: new StreamRelay(request), hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
+  }
+
+  /** Replaces the caller's estimate of the output length by that of the model. */
+  private _withExpectedOutput (request: GatewayRequest): GatewayRequest {
+    const { prompt } = request.metadata
+    if (prompt === undefined) return request
+    const expectedOutputTokens = this._outputLengthModel(request).expectedTokens(prompt.expectedOutputTokens)
+    return { ...request, metadata: { ...request.metadata, prompt: { ...prompt, expectedOutputTokens } } }
+  }
+
+  private _outputLengthModel ({ service }: GatewayRequest): OutputLengthModel {
+    const model = this._outputLengthModels.get(service.name) ?? new OutputLengthModel()
+    this._outputLengthModels.set(service.name, model)
+    return model
   }
 
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
@@ -126,17 +152,21 @@
     return drainMs({ waitingTokens, arrivalRate: kvRate, capacityTokens, holdingTimeMs: demand.holdingTimeMs(service) })
   }
 
-  /** Returns engines whose reported load leaves enough capacity, and full ones that are due for a probe. */
+  /**
+   * Returns engines whose reported load leaves enough capacity. While the work of other hosts is known late, it also returns full
+   * ones that are due for a probe: an engine grants less than the load that hosts count, so a probe could overfill it.
+   */
   private _enginesToProbe (request: GatewayRequest, progress: PromptProgress): readonly EndpointRecord[] {
-    const { load, clock, reliability } = this._context
+    const { load, loadAgeMs, clock, reliability } = this._context
     const kvTokens = request.service.engine?.kvTokens ?? Number.POSITIVE_INFINITY
     const nowMs = clock.nowMs()
     const ranked = this._rankedEngines(request, EngineRole.Decode, progress)
     const trusted = ranked.filter(({ id }) => !reliability.isSuspect(id, nowMs))
-    return (trusted.length > 0 ? trusted : ranked).filter(({ id }) => {
+    const due = (trusted.length > 0 ? trusted : ranked).filter(({ id }) => {
       const hasCapacity = load.at(id).tokens + kvTokensOf(request) <= kvTokens
-      return this._probeLimiter.shouldProbe(id, hasCapacity, ranked.length, nowMs)
+      return (hasCapacity || loadAgeMs() > 0) && this._probeLimiter.shouldProbe(id, hasCapacity, ranked.length, nowMs)
     })
+    return due.slice(0, MAX_PROBES_PER_PASS)
   }
 
   private async _reserveFirst (request: GatewayRequest, ranked: readonly EndpointRecord[]): Promise<Reservation | undefined> {
@@ -151,7 +181,7 @@
     const startMs = clock.nowMs()
     this._probeLimiter.recordProbe(endpoint.id, startMs)
     const work = load.at(endpoint.id)
-    const tokens = kvTokensOf(request)
+    const tokens = reservedTokensOf(request)
     const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * this._expectedPrefillMs(request))
     try {
       const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
@@ -331,6 +361,7 @@
     if (end === RelayOutcome.Complete) {
       metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
       this._recordHoldingTime(request, clock.nowMs() - startMs)
+      if (request.metadata.lastEventId === undefined) this._outputLengthModel(request).add(progress.hintTokens, progress.relay.bytes)
     }
     if (end === RelayOutcome.Broken) {
       this._recordOutcome(endpoint, CallOutcome.Failure)
@@ -360,11 +391,10 @@
   }
 
   private _rankedEngines (request: GatewayRequest, role: EngineRole, { avoidedIds }: PromptProgress): readonly EndpointRecord[] {
-    const { zone, random } = this._context
     const pool = this._pool(request, role)
     const preferred = pool.filter(({ id }) => !avoidedIds.has(id))
     const tokens = role === EngineRole.Prefill ? promptTokensOf(request) : kvTokensOf(request)
-    return this._ranking.rank(this._candidates(preferred.length > 0 ? preferred : pool, tokens), zone, random)
+    return this._rank(request, preferred.length > 0 ? preferred : pool, tokens)
   }
 
   private _pool (request: GatewayRequest, role: EngineRole): readonly EndpointRecord[] {
--- a/packages/gateway/src/forwarding/JaymillPromptProgress.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptProgress.ts
@@ -10,6 +10,8 @@
 /** Progress of one generation request through the prefill and decode pools. */
 export interface PromptProgress {
   readonly relay: StreamRelay
+  /** Caller's estimate of the output length, in tokens. */
+  readonly hintTokens: number
   /** Calls that may have run the request. */
   runs: number
   /** Rounds of reservation, prefill and decode. */
--- a/packages/gateway/src/forwarding/JaymillPromptSize.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptSize.ts
@@ -1,25 +1,34 @@
+import { SharedOutputOccupancy } from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
-import type { PromptMetadata } from '../ports/JaymillWireDialect.js'
-import { OUTPUT_MARGIN } from './constants.js'
+
+const OCCUPANCY = new SharedOutputOccupancy()
+
+type SizedRequest = Pick<GatewayRequest, 'metadata'>
 
 /**
  * @param request - A generation request.
  * @returns The number of tokens in its prompt.
  */
-export function promptTokensOf ({ metadata }: Pick<GatewayRequest, 'metadata'>): number {
+export function promptTokensOf ({ metadata }: SizedRequest): number {
   return metadata.prompt?.promptTokens ?? 0
 }
 
 /**
  * @param request - A generation request.
- * @returns The KV cache that it needs, in tokens: the prompt plus an output slightly longer than estimated. An engine lets a
- * longer output grow as long as it has free memory.
+ * @returns The KV cache that hosts count for it at its engine, in tokens.
+ */
+export function kvTokensOf (request: SizedRequest): number {
+  return OCCUPANCY.occupiedTokens({ promptTokens: promptTokensOf(request), outputTokens: outputTokensOf(request) })
+}
+
+/**
+ * @param request - A generation request.
+ * @returns The KV cache to reserve for it, in tokens.
  */
-export function kvTokensOf ({ metadata }: Pick<GatewayRequest, 'metadata'>): number {
-  return promptTokensOf({ metadata }) + outputTokens(metadata.prompt)
+export function reservedTokensOf (request: SizedRequest): number {
+  return OCCUPANCY.reservedTokens({ promptTokens: promptTokensOf(request), outputTokens: outputTokensOf(request) })
 }
 
-function outputTokens (prompt: PromptMetadata | undefined): number {
-  if (prompt === undefined) return 0
-  return Math.min(prompt.maxOutputTokens, Math.ceil(prompt.expectedOutputTokens * OUTPUT_MARGIN))
+function outputTokensOf ({ metadata: { prompt } }: SizedRequest): number {
+  return prompt === undefined ? 0 : Math.min(prompt.maxOutputTokens, prompt.expectedOutputTokens)
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -16,8 +16,8 @@
 /** Time limit for a reservation request to an engine, in milliseconds. */
 export const RESERVE_TIMEOUT_MS = 300
 
-/** Interval at which queued requests are retried when no released capacity is reported, in milliseconds; two decode steps. */
-export const CAPACITY_RETRY_MS = 15
+/** Interval at which queued requests are retried when no released capacity is reported, in milliseconds. */
+export const CAPACITY_RETRY_MS = 50
 
 /**
  * Margin between the deadline for the first event and the timeout of the caller, in milliseconds; covers the network round
@@ -55,8 +55,8 @@
 /** Expected prefill time above which a request waits before it reserves capacity, in milliseconds. */
 export const PREFILL_BACKLOG_MS = 700
 
-/** KV cache reserved for the output of a request, as a multiple of the estimated output length. */
-export const OUTPUT_MARGIN = 1.25
+/** Engines that are asked for a reservation one after the other before the queue waits for capacity again. */
+export const MAX_PROBES_PER_PASS = 4
 
 /** Share of the route's time limit below which a caller's deadline indicates a retry. */
 export const RETRY_DEADLINE_SHARE = 0.97
