Learn the speed of engines for each service, and size the roles by whole prefill times

Cause: decisions held figures of the first sites: the time of a prefill at a decode engine, the time from a prefill to the first event. Change: one fit over the engines of a role, times a factor for each engine that one call raises and time lowers; delays by moving average and deviation; the balance uses the expected time of an average prompt. A starting host has the fit after few calls.

--- a/packages/core/src/__tests__/unit/gateway/JaymillPrefillPlacement.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillPrefillPlacement.test.ts
@@ -31,15 +31,13 @@
     const engine = decodeFreeMs.indexOf(Math.min(...decodeFreeMs))
     const waitMs = Math.max(0, (decodeFreeMs[engine] ?? 0) - atMs)
     const prefillEngineMs = Math.max(0, prefillFreeMs - atMs) + tokens * PREFILL_TOKEN_MS
-    const location = placement.choose({
-      promptTokens: tokens, prefillEngineMs, decodeEngineTokens: waitMs / DECODE_ENGINE_TOKEN_MS, remainingMs: TARGET_MS
-    })
+    const decodeEngineMs = waitMs + DECODE_ENGINE_FIXED_MS + tokens * DECODE_ENGINE_TOKEN_MS
+    const location = placement.choose({ prefillEngineMs, decodeEngineMs, remainingMs: TARGET_MS })
     if (location === PrefillLocation.Prefill) {
       prefillFreeMs = atMs + prefillEngineMs
       return prefillEngineMs
     }
     atDecodeEngines += 1
-    const decodeEngineMs = waitMs + DECODE_ENGINE_FIXED_MS + tokens * DECODE_ENGINE_TOKEN_MS
     decodeFreeMs[engine] = atMs + decodeEngineMs
     return decodeEngineMs
   })
@@ -54,14 +52,14 @@
 })
 
 function options (overrides: Partial<PrefillPlacementOptions>): PrefillPlacementOptions {
-  return { promptTokens: 4_000, prefillEngineMs: 200, decodeEngineTokens: 0, remainingMs: TARGET_MS, ...overrides }
+  return { prefillEngineMs: 200, decodeEngineMs: 340, remainingMs: TARGET_MS, ...overrides }
 }
 
 test('decode engines are not used when the prompt meets, or misses, the target in both locations', () => {
   const placement = new LatencyTargetPlacement()
   expect(placement.choose(options({}))).toBe(PrefillLocation.Prefill)
   expect(placement.choose(options({ prefillEngineMs: 900 }))).toBe(PrefillLocation.Decode)
-  expect(placement.choose(options({ prefillEngineMs: 900, decodeEngineTokens: 20_000 }))).toBe(PrefillLocation.Prefill)
+  expect(placement.choose(options({ prefillEngineMs: 900, decodeEngineMs: 1_440 }))).toBe(PrefillLocation.Prefill)
   expect(placement.choose(options({ prefillEngineMs: 900, remainingMs: -100 }))).toBe(PrefillLocation.Prefill)
 })
 
@@ -69,5 +67,5 @@
   const withoutPrefillEngine = options({ prefillEngineMs: undefined })
   expect([new DedicatedPrefillPlacement(), new LatencyTargetPlacement()].map(placement => placement.choose(withoutPrefillEngine)))
     .toEqual([PrefillLocation.Decode, PrefillLocation.Decode])
-  expect(new LatencyTargetPlacement().expectedMs(withoutPrefillEngine)).toBeCloseTo(DECODE_ENGINE_FIXED_MS + 4_000 * DECODE_ENGINE_TOKEN_MS)
+  expect(new LatencyTargetPlacement().expectedMs(withoutPrefillEngine)).toBe(340)
 })
--- a/packages/core/src/gateway/JaymillPrefillPlacement.ts
+++ b/packages/core/src/gateway/JaymillPrefillPlacement.ts
@@ -1,5 +1,3 @@
-import { DECODE_ENGINE_PREFILL_FIXED_MS, DECODE_ENGINE_PREFILL_TOKEN_MS } from './constants.js'
-
 /** Engine role that prefills the prompt of a request. */
 export enum PrefillLocation {
   /** A prefill engine; the KV cache is transferred to the decode engine. */
@@ -10,11 +8,10 @@
 
 /** Expected costs of prefilling one prompt in either location. */
 export interface PrefillPlacementOptions {
-  readonly promptTokens: number
   /** Expected time at the prefill engine that is available first, in milliseconds; `undefined` when there is none. */
   readonly prefillEngineMs: number | undefined
-  /** Prompt tokens that the decode engine already has to prefill. */
-  readonly decodeEngineTokens: number
+  /** Expected time at the decode engine, between the decode steps of its other requests, in milliseconds. */
+  readonly decodeEngineMs: number
   /** Remaining time for the prefill to meet the latency target, in milliseconds; negative when the target is missed already. */
   readonly remainingMs: number
 }
@@ -36,7 +33,7 @@
    * @returns Expected time until the prefill is complete, in milliseconds.
    */
   expectedMs (options: PrefillPlacementOptions): number {
-    return this.choose(options) === PrefillLocation.Prefill ? options.prefillEngineMs ?? 0 : decodeEngineMs(options)
+    return this.choose(options) === PrefillLocation.Prefill ? options.prefillEngineMs ?? 0 : options.decodeEngineMs
   }
 }
 
@@ -55,13 +52,8 @@
  */
 export class LatencyTargetPlacement extends PrefillPlacement {
   /** {@inheritDoc PrefillPlacement.choose} */
-  choose (options: PrefillPlacementOptions): PrefillLocation {
-    const { prefillEngineMs, remainingMs } = options
+  choose ({ prefillEngineMs, decodeEngineMs, remainingMs }: PrefillPlacementOptions): PrefillLocation {
     if (prefillEngineMs === undefined) return PrefillLocation.Decode
-    return prefillEngineMs > remainingMs && decodeEngineMs(options) <= remainingMs ? PrefillLocation.Decode : PrefillLocation.Prefill
+    return prefillEngineMs > remainingMs && decodeEngineMs <= remainingMs ? PrefillLocation.Decode : PrefillLocation.Prefill
   }
 }
-
-function decodeEngineMs ({ promptTokens, decodeEngineTokens }: PrefillPlacementOptions): number {
-  return DECODE_ENGINE_PREFILL_FIXED_MS + (decodeEngineTokens + promptTokens) * DECODE_ENGINE_PREFILL_TOKEN_MS
-}
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -28,6 +28,23 @@
 /** Random jitter added to each cost, in milliseconds; keeps hosts with the same information from choosing the same endpoint. */
 export const RANKING_JITTER_MS = 1
 
+/** Time in which the weight of a call in an endpoint's latency factor decays to about a third (1/e), in milliseconds. */
+export const LATENCY_FACTOR_DECAY_MS = 6_000
+
+/** Calls of average duration that the factor of an endpoint starts with. */
+export const LATENCY_FACTOR_PRIOR_CALLS = 1
+
+/** Smallest and largest factor of one call. */
+export const LATENCY_FACTOR_MIN = 0.2
+export const LATENCY_FACTOR_MAX = 10
+
+/** Weights of a new sample in the moving average of a delay and in its mean deviation (RFC 6298). */
+export const DELAY_MEAN_WEIGHT = 0.125
+export const DELAY_DEVIATION_WEIGHT = 0.25
+
+/** Mean deviations above the average that most delays do not exceed. */
+export const DELAY_DEVIATIONS = 2
+
 /** Factor by which each new measurement reduces the weight of earlier ones; about the last twenty measurements count. */
 export const LATENCY_DECAY = 0.95
 
@@ -97,6 +114,9 @@
 /** Variance of the logarithm of a hint that these samples have. */
 export const OUTPUT_LENGTH_PRIOR_VARIANCE = 0.25
 
+/** Weight of a new request in the moving average of prompt lengths. */
+export const PROMPT_LENGTH_WEIGHT = 0.1
+
 /** Time that the first utilization sample represents in the moving average, in milliseconds. */
 export const BALANCE_FIRST_SAMPLE_MS = 500
 
@@ -154,12 +174,6 @@
 /** Hosts per availability zone that keep trying during an outage of the source. */
 export const READER_CANDIDATES_PER_ZONE = 5
 
-/** Prefill time per token at a decode engine, in milliseconds: half the speed of a prefill engine, plus a decode step between chunks. */
-export const DECODE_ENGINE_PREFILL_TOKEN_MS = 0.055
-
-/** Fixed part of the prefill time at a decode engine, in milliseconds: the first step. */
-export const DECODE_ENGINE_PREFILL_FIXED_MS = 120
-
 /** Interval at which an engine that seems full is still probed, in milliseconds: load reports may be late or lost. */
 export const FULL_ENGINE_PROBE_INTERVAL_MS = 250
 
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,8 +1,8 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  Clock, DirectoryEvent, EndpointLatencyModel, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, type DirectoryChange
+  Clock, DirectoryEvent, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
+  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
@@ -150,7 +150,7 @@
       demand,
       roleChanges,
       reliability: new EndpointReliability(),
-      latencyModel: new EndpointLatencyModel(),
+      latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
       hostCount: () => this._heartbeats.hostCount,
       loadAgeMs: () => this._heartbeats.usesRelays ? RELAYED_LOAD_AGE_MS : 0,
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -58,8 +58,9 @@
   abstract durationMs (request: GatewayRequest): number
 
   /** Estimates the latency of a request: one service time per full set of slots ahead of it, plus the slowdown by concurrent requests. */
-  protected _expectedMs ({ id, slots }: EndpointRecord, { requests }: OutstandingWork, _tokens: number): number {
-    const unitMs = this._context.latencyModel.unitMs(id, PLAIN_INITIAL_MS)
+  protected _expectedMs ({ id, service, slots }: EndpointRecord, { requests }: OutstandingWork, _tokens: number): number {
+    const { latencyModel, clock } = this._context
+    const unitMs = latencyModel.expectedMs({ group: service, endpointId: id }, 1, PLAIN_INITIAL_MS, clock.nowMs())
     return unitMs * (1 + Math.floor(requests / Math.max(1, slots)) + requests / Math.max(1, slots))
   }
 
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointLatencyModel, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random } from '@jaymill/core'
+import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ServiceLatencyModel } from '@jaymill/core'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -21,7 +21,7 @@
   /** Prompt tokens that decode engines prefill themselves. */
   readonly directPrefills: EndpointLoad
   readonly reliability: EndpointReliability
-  readonly latencyModel: EndpointLatencyModel
+  readonly latencyModel: ServiceLatencyModel
   readonly budget: FleetRetryBudget
   readonly demand: PromptDemand
   readonly roleChanges: PendingRoleChanges
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -71,7 +71,9 @@
       .then(response => this._toAttempt(request, endpoint, response), err => this._toFailedAttempt(request, endpoint, err))
     finished.abort()
     const ms = clock.nowMs() - startMs
-    if (attempt.verdict === ResponseVerdict.Success) latencyModel.addMeasurement(endpoint.id, 1 + Math.floor(work.requests / Math.max(1, endpoint.slots)), ms)
+    if (attempt.verdict === ResponseVerdict.Success) {
+      latencyModel.addMeasurement({ group: endpoint.service, endpointId: endpoint.id }, 1 + Math.floor(work.requests / Math.max(1, endpoint.slots)), ms, clock.nowMs())
+    }
     metrics.recordCall('request', attempt.verdict)
     log.request(request.id, 'attempt ended', {
       endpoint: endpoint.id,
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  callerTimeoutMs, CallOutcome, CapacityProbeLimiter, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement, OutputLengthModel,
+  callerTimeoutMs, CallOutcome, CapacityProbeLimiter, DelayEstimate, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement, OutputLengthModel,
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -12,13 +12,14 @@
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import {
-  DECODE_TOKEN_MS, FIRST_EVENT_FIXED_MS, FIRST_EVENT_MARGIN_MS, LONG_OUTPUT_FACTOR, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, OUTPUT_LENGTH_WEIGHT,
+  DECODE_TOKEN_MS, DIRECT_PREFILL_FACTOR, FIRST_EVENT_INITIAL_MS, FIRST_EVENT_MARGIN_MS, LONG_OUTPUT_FACTOR, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, OUTPUT_LENGTH_WEIGHT,
   PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RESERVATION_MARGIN_MS,
   RESERVE_TIMEOUT_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
+import { directPrefillGroup, prefillGroup } from './JaymillLatencyGroups.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf, reservedTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
@@ -33,6 +34,8 @@
  */
 export class PromptForwarder extends Forwarder {
   private readonly _queues = new Map<string, CapacityQueue>()
+  /** Time from the end of a prefill to the first event, for each service. */
+  private readonly _firstEventDelays = new Map<string, DelayEstimate>()
   private readonly _outputLengthModels = new Map<string, OutputLengthModel>()
   /** Moving average of estimated output lengths, in tokens. */
   private _meanOutputTokens = 0
@@ -259,7 +262,7 @@
     limit.dispose()
     prefillEnded.abort()
     const ms = clock.nowMs() - startMs
-    if (prompt !== undefined) latencyModel.addMeasurement(endpoint.id, work.tokens + tokens, ms)
+    if (prompt !== undefined) latencyModel.addMeasurement({ group: prefillGroup(endpoint.service), endpointId: endpoint.id }, work.tokens + tokens, ms, clock.nowMs())
     const outcome = prompt === undefined ? 'failed' : 'read'
     metrics.recordCall('prefill', outcome)
     log.request(request.id, 'prefill', {
@@ -285,12 +288,14 @@
     const directPrefillMs = prompt === undefined ? this._expectedPrefillMs(request) : 0
     const limit = new TimeLimit(request.signal, isIdempotent(request.route) ? STREAM_IDLE_TIMEOUT_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs : this._remainingMs(request))
     const directPrefill = new AbortController()
+    const queuedTokens = this._context.directPrefills.at(endpoint.id).tokens
     if (prompt === undefined) this._context.directPrefills.add(endpoint.id, promptTokensOf(request), directPrefill.signal)
     const startMs = clock.nowMs()
     const finish = (verdict: ResponseVerdict, reason?: string): void => {
       limit.cancelTimeout()
       directPrefill.abort()
       const readAt = prompt?.endpoint.id ?? endpoint.id
+      if (verdict === ResponseVerdict.Success) this._recordFirstEvent(request, endpoint, { ms: clock.nowMs() - startMs, queuedTokens, direct: prompt === undefined })
       log.request(request.id, 'decode', { endpoint: endpoint.id, readAt, verdict, reason, afterEvent: progress.relay.lastEventId, ms: Math.round(clock.nowMs() - startMs) })
     }
     try {
@@ -311,6 +316,16 @@
     }
   }
 
+  /** Learns how long the first event takes after a prefill elsewhere, or how long a prefill at a decode engine takes. */
+  private _recordFirstEvent (
+    request: GatewayRequest, { id }: EndpointRecord, { ms, queuedTokens, direct }: { readonly ms: number, readonly queuedTokens: number, readonly direct: boolean }
+  ): void {
+    const { latencyModel, clock } = this._context
+    const group = directPrefillGroup(request.service.name)
+    if (direct) latencyModel.addMeasurement({ group, endpointId: id }, queuedTokens + promptTokensOf(request), ms, clock.nowMs())
+    else this._firstEventDelay(request).add(ms)
+  }
+
   private async _handleDecodeResponse (
     request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: PrefilledPrompt | undefined,
     response: StreamedResponse, verdict: ResponseVerdict
@@ -385,8 +400,11 @@
     return new RequestError(ErrorKind.Overloaded, 'no engine ran the request', { retryAfterMs: BUSY_RETRY_AFTER_MS })
   }
 
-  protected override _expectedMs ({ id, stage }: EndpointRecord, work: OutstandingWork, tokens: number): number {
-    if (stage === EngineRole.Prefill) return this._context.latencyModel.expectedMs(id, work.tokens + tokens, PREFILL_INITIAL_TOKEN_MS)
+  protected override _expectedMs ({ id, service, stage }: EndpointRecord, work: OutstandingWork, tokens: number): number {
+    const { latencyModel, clock } = this._context
+    if (stage === EngineRole.Prefill) {
+      return latencyModel.expectedMs({ group: prefillGroup(service), endpointId: id }, work.tokens + tokens, PREFILL_INITIAL_TOKEN_MS, clock.nowMs())
+    }
     return (work.tokens + tokens) * DECODE_TOKEN_MS
   }
 
@@ -414,9 +432,26 @@
 
   private _placementOptions (request: GatewayRequest, engine?: EndpointRecord): PrefillPlacementOptions {
     const engines = engine === undefined ? this._pool(request, EngineRole.Decode) : [engine]
-    const decodeEngineTokens = Math.min(...engines.map(({ id }) => this._context.directPrefills.at(id).tokens))
-    const remainingMs = request.arrivedMs + request.route.targetLatencyMs - FIRST_EVENT_FIXED_MS - this._context.clock.nowMs()
-    return { promptTokens: promptTokensOf(request), prefillEngineMs: this._prefillEngineMs(request), decodeEngineTokens, remainingMs }
+    const decodeEngineMs = Math.min(...engines.map(({ id }) => this._directPrefillMs(request, id)))
+    const remainingMs = request.arrivedMs + request.route.targetLatencyMs - this._firstEventDelay(request).upperMs - this._context.clock.nowMs()
+    return { prefillEngineMs: this._prefillEngineMs(request), decodeEngineMs, remainingMs }
+  }
+
+  /** Returns the expected time of a prefill at a decode engine, in milliseconds. */
+  private _directPrefillMs (request: GatewayRequest, engineId: string): number {
+    const { latencyModel, directPrefills, clock } = this._context
+    const service = request.service.name
+    const nowMs = clock.nowMs()
+    const tokens = promptTokensOf(request)
+    const prefillMs = latencyModel.expectedMs({ group: prefillGroup(service), endpointId: '' }, tokens, PREFILL_INITIAL_TOKEN_MS, nowMs)
+    const initialTokenMs = DIRECT_PREFILL_FACTOR * prefillMs / Math.max(1, tokens)
+    return latencyModel.expectedMs({ group: directPrefillGroup(service), endpointId: engineId }, directPrefills.at(engineId).tokens + tokens, initialTokenMs, nowMs)
+  }
+
+  private _firstEventDelay ({ service }: GatewayRequest): DelayEstimate {
+    const delay = this._firstEventDelays.get(service.name) ?? new DelayEstimate(FIRST_EVENT_INITIAL_MS)
+    this._firstEventDelays.set(service.name, delay)
+    return delay
   }
 
   /** Returns the expected prefill time at the chosen location, in milliseconds. */
@@ -425,6 +460,6 @@
   }
 
   private _expectedFirstEventMs (request: GatewayRequest): number {
-    return FIRST_EVENT_FIXED_MS + this._expectedPrefillMs(request)
+    return this._firstEventDelay(request).upperMs + this._expectedPrefillMs(request)
   }
 }
--- a/packages/gateway/src/forwarding/JaymillRoleController.ts
+++ b/packages/gateway/src/forwarding/JaymillRoleController.ts
@@ -2,6 +2,7 @@
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
 import { PREFILL_INITIAL_TOKEN_MS, ROLE_CHANGE_DRAIN_MS, ROLE_CHECK_MS, ROLE_ORDER_TIMEOUT_MS } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
+import { prefillGroup } from './JaymillLatencyGroups.js'
 
 /** Components of the host that the role controller uses. */
 export interface RoleControllerContext extends ForwardingContext {
@@ -64,9 +65,10 @@
     const { state, latencyModel, demand, clock, reliability } = this._context
     const nowMs = clock.nowMs()
     const reachable = state.directory.usable(service).filter(({ id }) => !reliability.isSuspect(id, nowMs))
-    const engines = reachable.map(({ id, stage }) => ({
-      id, role: stage ?? EngineRole.Decode, tokenMs: latencyModel.unitMs(id, PREFILL_INITIAL_TOKEN_MS)
-    }))
+    const promptTokens = Math.max(1, demand.meanPromptTokens(service))
+    const tokenMsOf = (endpointId: string): number =>
+      latencyModel.expectedMs({ group: prefillGroup(service), endpointId }, promptTokens, PREFILL_INITIAL_TOKEN_MS, nowMs) / promptTokens
+    const engines = reachable.map(({ id, stage }) => ({ id, role: stage ?? EngineRole.Decode, tokenMs: tokenMsOf(id) }))
     const { promptRate, kvRate } = demand.total(service, nowMs)
     return { engines, kvTokens, promptRate, kvRate, holdingTimeMs: demand.holdingTimeMs(service) }
   }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -25,11 +25,11 @@
  */
 export const FIRST_EVENT_MARGIN_MS = 150
 
-/**
- * Time to the first event that does not depend on the prompt length, in milliseconds: the fixed part of a prefill, the
- * KV cache transfer and the first decode step.
- */
-export const FIRST_EVENT_FIXED_MS = 200
+/** Assumed time from the end of a prefill to the first event before the first measurement, in milliseconds. */
+export const FIRST_EVENT_INITIAL_MS = 200
+
+/** Assumed time of a prefill at a decode engine before the first measurement, as a multiple of that at a prefill engine. */
+export const DIRECT_PREFILL_FACTOR = 3
 
 /** Timeout of a prefill, as a multiple of its expected time. */
 export const PREFILL_TIMEOUT_FACTOR = 3
