Move an engine at low load only from a role that is nearly idle, and follow slow calls less quickly

A noisy neighbour slows an engine for 0.6 s, which one call should not remember for 6 s. Change: the balance uses the time per token again, as before; below half of utilization it moves an engine only if its role stays under 0.3 without it. The factor of an engine starts with five calls. The delay to the first event has a bound of four deviations.

--- a/packages/core/src/__tests__/unit/gateway/JaymillRoleBalancer.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillRoleBalancer.test.ts
@@ -51,6 +51,12 @@
   expect(firstChange(new RoleBalancer(), { ...usage, engines: uneven }, 0, 8_000)?.engineId).toBe('p3')
 })
 
+test('at low load, moves an engine only from a role that is nearly idle without it', () => {
+  expect(firstChange(new RoleBalancer(), pool(3, 3, 20), 0, 8_000)).toMatchObject({ to: EngineRole.Decode })
+  expect(firstChange(new RoleBalancer(), pool(3, 3, 20, 1_500), 0, 60_000)).toBeUndefined()
+  expect(firstChange(new RoleBalancer(), pool(3, 3, 30, 2_500), 0, 60_000)).toBeUndefined()
+})
+
 test('waits until there has been traffic for some time', () => {
   expect(firstChange(new RoleBalancer(), pool(3, 3, 32), 0, 3_000)).toBeUndefined()
 })
--- a/packages/core/src/gateway/JaymillPromptDemand.ts
+++ b/packages/core/src/gateway/JaymillPromptDemand.ts
@@ -1,4 +1,4 @@
-import { DEMAND_SMOOTH_MS, HOLDING_TIME_INITIAL_MS, HOLDING_TIME_WEIGHT, PROMPT_LENGTH_WEIGHT } from './constants.js'
+import { DEMAND_SMOOTH_MS, HOLDING_TIME_INITIAL_MS, HOLDING_TIME_WEIGHT } from './constants.js'
 
 /** Demand for one service at one host. */
 export interface DemandShare {
@@ -21,7 +21,6 @@
 export class PromptDemand {
   private readonly _own = new Map<string, Rates>()
   private readonly _holdingTimesMs = new Map<string, number>()
-  private readonly _promptTokens = new Map<string, number>()
   private readonly _waitingTokens = new Map<string, () => number>()
   private readonly _others = new Map<string, readonly DemandShare[]>()
 
@@ -35,19 +34,9 @@
    */
   add (service: string, promptTokens: number, kvTokens: number, nowMs: number): void {
     const { prompt, kv } = this._rates(service, nowMs)
-    const before = this._promptTokens.get(service) ?? promptTokens
-    this._promptTokens.set(service, before + (promptTokens - before) * PROMPT_LENGTH_WEIGHT)
     this._own.set(service, { prompt: prompt + promptTokens / DEMAND_SMOOTH_MS, kv: kv + kvTokens / DEMAND_SMOOTH_MS, atMs: nowMs })
   }
 
-  /**
-   * @param service - A service.
-   * @returns Moving average of the prompt lengths at this host, in tokens; 0 before the first request.
-   */
-  meanPromptTokens (service: string): number {
-    return this._promptTokens.get(service) ?? 0
-  }
-
   /**
    * Records for how long a request held KV cache, not counting its prefill.
    *
--- a/packages/core/src/gateway/JaymillRoleBalancer.ts
+++ b/packages/core/src/gateway/JaymillRoleBalancer.ts
@@ -1,6 +1,6 @@
 import {
   BALANCE_COOLDOWN_MS, BALANCE_DECODE_WARMUP_MS, BALANCE_FIRST_SAMPLE_MS, BALANCE_MAX_MOVED_SHARE, BALANCE_MAX_REMAINING_SHARE,
-  BALANCE_MIN_UTILIZATION, BALANCE_SMOOTH_MS, BALANCE_WARMUP_MS, PREFILL_UTILIZATION_WEIGHT, ROLE_MIN_ENGINES
+  BALANCE_IDLE_UTILIZATION, BALANCE_MIN_UTILIZATION, BALANCE_MIN_UTILIZATION_FROM_IDLE, BALANCE_SMOOTH_MS, BALANCE_WARMUP_MS, PREFILL_UTILIZATION_WEIGHT, ROLE_MIN_ENGINES
 } from './constants.js'
 import { EngineRole } from './JaymillEndpointRecord.js'
 
@@ -74,7 +74,7 @@
     const current = this._maxUtilization(usage.engines, usage.kvTokens)
     const plans = fromRoles.map(from => this._planMoves(usage, from, current))
     const best = plans.reduce((a, b) => b.utilization < a.utilization ? b : a)
-    if (current < BALANCE_MIN_UTILIZATION || best.utilization > current * BALANCE_MAX_REMAINING_SHARE) return []
+    if (best.utilization > current * BALANCE_MAX_REMAINING_SHARE || !this._isWorthIt(best, current, usage.kvTokens)) return []
     this._lastChangeMs = nowMs
     return best.changes
   }
@@ -88,6 +88,13 @@
     this._lastChangeMs = nowMs
   }
 
+  /** At low utilization, an engine is moved only from a role that is nearly idle without it. */
+  private _isWorthIt ({ engines }: MovePlan, current: number, kvTokens: number): boolean {
+    if (current >= BALANCE_MIN_UTILIZATION) return true
+    const { prefill, decode } = this._utilizations(engines, kvTokens)
+    return current >= BALANCE_MIN_UTILIZATION_FROM_IDLE && Math.min(prefill, decode) <= BALANCE_IDLE_UTILIZATION
+  }
+
   /** Moves engines out of one role one by one, as long as each move lowers the higher utilization. */
   private _planMoves ({ engines, kvTokens }: PoolUsage, from: EngineRole, current: number): MovePlan {
     const movable = engines.filter(({ role }) => role === from).sort((a, b) => this._compareForMove(a, b, from))
@@ -106,12 +113,18 @@
   }
 
   private _maxUtilization (engines: readonly BalancedEngine[], kvTokens: number): number {
-    const decode = engines.filter(({ role }) => role === EngineRole.Decode)
+    const { prefill, decode } = this._utilizations(engines, kvTokens)
+    return Math.max(prefill, decode)
+  }
+
+  /** Returns the utilization of both roles; infinite without an engine. */
+  private _utilizations (engines: readonly BalancedEngine[], kvTokens: number): { readonly prefill: number, readonly decode: number } {
+    const decodeEngines = engines.filter(({ role }) => role === EngineRole.Decode).length
     const prefillRate = engines.filter(({ role }) => role === EngineRole.Prefill).reduce((sum, { tokenMs }) => sum + 1 / tokenMs, 0)
-    if (decode.length === 0 || prefillRate === 0) return Number.POSITIVE_INFINITY
-    return Math.max(
-      this._kvDemandTokens / (decode.length * kvTokens), PREFILL_UTILIZATION_WEIGHT * this._promptRate / prefillRate
-    ) / this._sampleWeight
+    return {
+      prefill: prefillRate === 0 ? Number.POSITIVE_INFINITY : PREFILL_UTILIZATION_WEIGHT * this._promptRate / prefillRate / this._sampleWeight,
+      decode: decodeEngines === 0 ? Number.POSITIVE_INFINITY : this._kvDemandTokens / (decodeEngines * kvTokens) / this._sampleWeight
+    }
   }
 }
 
--- a/packages/core/src/gateway/JaymillServiceLatencyModel.ts
+++ b/packages/core/src/gateway/JaymillServiceLatencyModel.ts
@@ -52,6 +52,16 @@
     return this._groups.expectedMs(group, units, initialUnitMs) * this.factor(endpointId, nowMs)
   }
 
+  /**
+   * @param key - Endpoint and kind of work.
+   * @param initialUnitMs - Time per unit in a group without measurements, in milliseconds.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Expected time per unit of work, without the fixed time of a call, in milliseconds.
+   */
+  unitMs ({ group, endpointId }: LatencyKey, initialUnitMs: number, nowMs: number): number {
+    return this._groups.unitMs(group, initialUnitMs) * this.factor(endpointId, nowMs)
+  }
+
   /**
    * @param endpointId - An endpoint.
    * @param nowMs - Monotonic time in milliseconds.
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -32,7 +32,7 @@
 export const LATENCY_FACTOR_DECAY_MS = 6_000
 
 /** Calls of average duration that the factor of an endpoint starts with. */
-export const LATENCY_FACTOR_PRIOR_CALLS = 1
+export const LATENCY_FACTOR_PRIOR_CALLS = 5
 
 /** Smallest and largest factor of one call. */
 export const LATENCY_FACTOR_MIN = 0.2
@@ -43,7 +43,7 @@
 export const DELAY_DEVIATION_WEIGHT = 0.25
 
 /** Mean deviations above the average that most delays do not exceed. */
-export const DELAY_DEVIATIONS = 2
+export const DELAY_DEVIATIONS = 4
 
 /** Factor by which each new measurement reduces the weight of earlier ones; about the last twenty measurements count. */
 export const LATENCY_DECAY = 0.95
@@ -81,8 +81,14 @@
 /** Largest share of a role's engines to move at once: they accept no work for some seconds. */
 export const BALANCE_MAX_MOVED_SHARE = 0.25
 
-/** Utilization of the busier role below which no role is changed: even a burst would then leave both roles with free capacity. */
-export const BALANCE_MIN_UTILIZATION = 0.25
+/** Utilization of the busier role below which no role is changed. */
+export const BALANCE_MIN_UTILIZATION = 0.5
+
+/** Utilization of the busier role below which not even an engine of a role that is nearly idle is moved. */
+export const BALANCE_MIN_UTILIZATION_FROM_IDLE = 0.25
+
+/** Utilization below which a role counts as nearly idle without the engines that leave it: a burst of twice the demand fits. */
+export const BALANCE_IDLE_UTILIZATION = 0.3
 
 /** Time over which a host averages the arrival rates of its requests, in milliseconds. */
 export const DEMAND_SMOOTH_MS = 2_000
@@ -114,9 +120,6 @@
 /** Variance of the logarithm of a hint that these samples have. */
 export const OUTPUT_LENGTH_PRIOR_VARIANCE = 0.25
 
-/** Weight of a new request in the moving average of prompt lengths. */
-export const PROMPT_LENGTH_WEIGHT = 0.1
-
 /** Time that the first utilization sample represents in the moving average, in milliseconds. */
 export const BALANCE_FIRST_SAMPLE_MS = 500
 
--- a/packages/gateway/src/forwarding/JaymillRoleController.ts
+++ b/packages/gateway/src/forwarding/JaymillRoleController.ts
@@ -65,9 +65,7 @@
     const { state, latencyModel, demand, clock, reliability } = this._context
     const nowMs = clock.nowMs()
     const reachable = state.directory.usable(service).filter(({ id }) => !reliability.isSuspect(id, nowMs))
-    const promptTokens = Math.max(1, demand.meanPromptTokens(service))
-    const tokenMsOf = (endpointId: string): number =>
-      latencyModel.expectedMs({ group: prefillGroup(service), endpointId }, promptTokens, PREFILL_INITIAL_TOKEN_MS, nowMs) / promptTokens
+    const tokenMsOf = (endpointId: string): number => latencyModel.unitMs({ group: prefillGroup(service), endpointId }, PREFILL_INITIAL_TOKEN_MS, nowMs)
     const engines = reachable.map(({ id, stage }) => ({ id, role: stage ?? EngineRole.Decode, tokenMs: tokenMsOf(id) }))
     const { promptRate, kvRate } = demand.total(service, nowMs)
     return { engines, kvTokens, promptRate, kvRate, holdingTimeMs: demand.holdingTimeMs(service) }
