--- a/packages/bench/src/model/main.ts
+++ b/packages/bench/src/model/main.ts
@@ -1,5 +1,5 @@
-import { parseArgs } from 'node:util'
 import fc from 'fast-check'
+import { benchProgram, unknownFlag } from '../JaymillBenchProgram.js'
 import { DEFAULT_RUNS } from './constants.js'
 import { OwnershipWalk, Violation } from './JaymillOwnershipWalk.js'
 import { availabilityReport } from './JaymillAvailability.js'
@@ -29,15 +29,11 @@
   ]
 }
 
-const { values } = parseArgs({ options: { seed: { type: 'string' }, runs: { type: 'string' }, json: { type: 'boolean' } } })
-const seed = Number(values.seed ?? 1)
-const lines = [
-  ...walkReport(seed, Number(values.runs ?? DEFAULT_RUNS)),
-  ...availabilityReport(seed),
-  ...costReport(),
-  ...groupReport()
-]
-lines.forEach(line => process.stdout.write(
-  values.json === true ? `${JSON.stringify(line)}\n` : `${line.name}: ${line.value} ${line.unit}\n`
-))
-process.exitCode = lines.every(line => line.ok) ? 0 : 1
+benchProgram('bench:model', 'Checks the ownership of keys over random walks, and prints what the design costs.')
+  .option('--runs', 'Number of random walks', DEFAULT_RUNS)
+  .action(({ seed, runs, json }: { seed: number, runs: number, json: boolean }) => {
+    const lines = [...walkReport(seed, runs), ...availabilityReport(seed), ...costReport(), ...groupReport()]
+    lines.forEach(line => process.stdout.write(json ? `${JSON.stringify(line)}\n` : `${line.name}: ${line.value} ${line.unit}\n`))
+    process.exitCode = lines.every(line => line.ok) ? 0 : 1
+  })
+  .parse(process.argv, { unknown: unknownFlag })
--- a/packages/bench/src/speed/main.ts
+++ b/packages/bench/src/speed/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { cpus, totalmem } from 'node:os'
 import sade from 'sade'
+import { unknownFlag } from '../JaymillBenchProgram.js'
 import { measureDecisions } from './JaymillDecisionSpeed.js'
 import { measureFleetRequests } from './JaymillFleetSpeed.js'
 import { measureIdle } from './JaymillIdleSpeed.js'
@@ -31,4 +32,4 @@
       process.exit(1)
     })
   })
-  .parse(process.argv)
+  .parse(process.argv, { unknown: unknownFlag })
--- a/packages/core/src/errors/JaymillError.ts
+++ b/packages/core/src/errors/JaymillError.ts
@@ -13,6 +13,7 @@
   NotFound = 'not-found',
   TooLarge = 'too-large',
   HeaderTooLarge = 'header-too-large',
+  RequestTimeout = 'request-timeout',
   Overloaded = 'overloaded',
   AccountLimit = 'account-limit',
   Stopping = 'stopping',
--- a/packages/core/src/errors/JaymillRequestError.ts
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -8,6 +8,7 @@
   [ErrorKind.NotFound]: 404,
   [ErrorKind.TooLarge]: 413,
   [ErrorKind.HeaderTooLarge]: 431,
+  [ErrorKind.RequestTimeout]: 408,
   [ErrorKind.Overloaded]: 503,
   [ErrorKind.AccountLimit]: 429,
   [ErrorKind.Stopping]: 503,
--- a/packages/gateway/src/JaymillBoundedBytes.ts
+++ b/packages/gateway/src/JaymillBoundedBytes.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import type { JaymillError } from '@jaymill/core'
 
 /**
@@ -19,3 +20,24 @@
   }
   return Buffer.concat(chunks, size)
 }
+
+/**
+ * Waits for a result, but not longer than a signal allows.
+ *
+ * @param result - The result.
+ * @param signal - Ends the wait when it aborts.
+ * @param aborted - Creates the error for an aborted wait.
+ * @returns The result.
+ * @throws The error of `aborted`, or that of the result.
+ */
+export async function untilAborted<Result> (result: Promise<Result>, signal: AbortSignal, aborted: () => JaymillError): Promise<Result> {
+  if (signal.aborted) throw aborted()
+  const settled = new AbortController()
+  const abort = once(signal, 'abort', { signal: settled.signal }).then(() => { throw aborted() })
+  abort.catch(() => { /* The result settled first. */ })
+  try {
+    return await Promise.race([result, abort])
+  } finally {
+    settled.abort()
+  }
+}
--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -35,6 +35,9 @@
   return !HOP_BY_HOP_HEADERS.has(name) && name !== 'content-length' && name !== 'expect'
 }
 
+/** Responses whose end is marked only by the end of their connection. */
+const closeDelimitedResponses = new WeakSet<ServerResponse>()
+
 /**
  * Prepares a response whose end is marked only by the end of its connection (RFC 9112, section 6.3). Whether such a response
  * is complete cannot be verified, so it is forwarded with the same framing: a length would mark a truncated body as complete.
@@ -48,9 +51,21 @@
   if (!closeDelimited) return false
   res.removeHeader('Transfer-Encoding')
   res.setHeader('Connection', 'close')
+  closeDelimitedResponses.add(res)
   return true
 }
 
+/**
+ * Breaks off a response so that it does not look complete to the caller. One that is delimited by the end of its connection is
+ * reset, since a regular end would complete it.
+ *
+ * @param res - Response to the caller.
+ */
+export function abortResponse (res: ServerResponse): void {
+  if (closeDelimitedResponses.has(res)) res.socket?.resetAndDestroy()
+  else res.destroy()
+}
+
 /**
  * Forwards a buffered response of an endpoint to the caller.
  *
@@ -72,7 +87,7 @@
  */
 export function sendProblem (res: ServerResponse, requestId: string | undefined, err: JaymillError): void {
   if (res.headersSent) {
-    res.destroy()
+    abortResponse(res)
     return
   }
   const body = JSON.stringify(toProblem(err, requestId))
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -3,9 +3,9 @@
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
-import { readBounded } from '../JaymillBoundedBytes.js'
+import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
 import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES } from './constants.js'
-import { sendProblem } from './JaymillCallerResponse.js'
+import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { listenOn } from './JaymillListener.js'
 
@@ -74,7 +74,7 @@
     try {
       const { route, service, version, config } = this._route(req)
       const { signal, deadlineMs } = this._startTimeLimit(res, route, arrivedMs, metadata.deadlineMs)
-      const body = await readBody(req, config.limits.maxBodyBytes)
+      const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
       const request = { id, req, res, route, service, metadata, version, body, arrivedMs, deadlineMs, signal }
@@ -131,7 +131,7 @@
 
   private _drop (req: IncomingMessage, res: ServerResponse, err: unknown): void {
     this._context.log.warn('request dropped', { path: req.url, reason: String(err) })
-    res.destroy()
+    abortResponse(res)
   }
 }
 
@@ -140,6 +140,12 @@
   if (bytes > maxBytes) throw new RequestError(ErrorKind.HeaderTooLarge, `the header exceeds ${maxBytes} bytes`)
 }
 
+/** The caller did not send its body within the time limit, so the request has not run. */
+function bodyTimeout (signal: AbortSignal): RequestError {
+  if (signal.reason === AbortReason.CallerGone) return new RequestError(ErrorKind.CallerGone, 'the caller has disconnected')
+  return new RequestError(ErrorKind.RequestTimeout, 'the body did not arrive in time')
+}
+
 async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer | null> {
   const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
   if (!hasBody) return null
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -1,7 +1,7 @@
 import { buildConnector, Client, Pool, type Dispatcher } from 'undici'
 import type { EndpointRecord } from '@jaymill/core'
 import { readBounded } from '../JaymillBoundedBytes.js'
-import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, POOL_CONNECTIONS } from './constants.js'
+import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, MAX_RESPONSE_HEAD_BYTES, POOL_CONNECTIONS } from './constants.js'
 import { ExchangeError, ExchangeFailure } from './JaymillExchangeError.js'
 import { ResponseHandler, type BufferedResponse, type ResetState, type StreamedResponse } from './JaymillStreamedResponse.js'
 
@@ -88,6 +88,7 @@
 
 const CLIENT_OPTIONS: Client.Options = {
   pipelining: 1,
+  maxHeaderSize: MAX_RESPONSE_HEAD_BYTES,
   headersTimeout: 0,
   bodyTimeout: 0,
   keepAliveTimeout: KEEP_ALIVE_DEFAULT_MS,
--- a/packages/gateway/src/endpoints/constants.ts
+++ b/packages/gateway/src/endpoints/constants.ts
@@ -15,3 +15,9 @@
 
 /** Maximum size of a response that is buffered, in bytes. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
+
+/** Maximum size of an event that is buffered until it is complete, in bytes. */
+export const MAX_EVENT_BYTES = 262_144
+
+/** Maximum size of the head of an endpoint's response, in bytes. */
+export const MAX_RESPONSE_HEAD_BYTES = 65_536
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -33,3 +33,6 @@
 
 /** Interval between checks for the state of another host, in milliseconds. */
 export const PEER_STATE_CHECK_MS = 25
+
+/** Maximum size of a response of the source, and of the state that another host sends, in bytes. */
+export const MAX_DOCUMENT_BYTES = 8_388_608
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -3,7 +3,7 @@
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
-import { sendResponse } from '../callers/JaymillCallerResponse.js'
+import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
 import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
@@ -383,7 +383,7 @@
       progress.avoidedIds.add(endpoint.id)
       return true
     }
-    if (end === RelayOutcome.Aborted) request.res.destroy()
+    if (end === RelayOutcome.Aborted) abortResponse(request.res)
     return false
   }
 
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,5 +1,6 @@
 import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
+import { abortResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
@@ -33,7 +34,7 @@
     const finished = new AbortController()
     this._trackLoad(endpoint, 0, finished.signal)
     const { end, ran } = await this._attempt(request, endpoint, progress).finally(() => finished.abort())
-    if (end === RelayOutcome.Aborted) request.res.destroy()
+    if (end === RelayOutcome.Aborted) abortResponse(request.res)
     if (end !== RelayOutcome.Broken) return
     await this._tryNext(request, { relay: progress.relay, tried: [...progress.tried, endpoint.id], runs: progress.runs + Number(ran) })
   }
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -1,6 +1,7 @@
 import { EventAssembler } from '@jaymill/core'
 import { endToEndHeaders, prepareCloseDelimited } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
+import { MAX_EVENT_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 
@@ -88,6 +89,7 @@
 
   private _completeEvents (events: EventAssembler, chunk: Buffer): Buffer {
     const { bytes, lastId } = events.push(chunk)
+    if (events.pendingBytes > MAX_EVENT_BYTES) throw new ExchangeError(ExchangeFailure.Malformed, `an event exceeds ${MAX_EVENT_BYTES} bytes`)
     this._lastEventId = lastId ?? this._lastEventId
     return bytes
   }
--- a/packages/gateway/src/peers/JaymillDocumentExchange.ts
+++ b/packages/gateway/src/peers/JaymillDocumentExchange.ts
@@ -5,8 +5,11 @@
 import type { Clock } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import { listenOn } from '../callers/JaymillListener.js'
+import { MAX_DOCUMENT_BYTES } from '../fleet/constants.js'
 import type { FleetFollower } from '../fleet/JaymillFleetFollower.js'
 import type { FleetDocument, FleetState } from '../fleet/JaymillFleetState.js'
+import { SourceError } from '../fleet/JaymillSourceError.js'
+import { readBounded } from '../JaymillBoundedBytes.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import { COMPRESS_BYTES, DOCUMENT_FETCH_DELAY_MS, DOCUMENT_TIMEOUT_MS } from './constants.js'
 import type { HostMessage } from './JaymillHostMessage.js'
@@ -96,9 +99,9 @@
     const signal = AbortSignal.timeout(DOCUMENT_TIMEOUT_MS)
     const path = `${DOCUMENTS_PATH}?config=${state.version}&revision=${state.directory.revision}`
     const { body, statusCode, headers } = await request(`http://${host}:${listen.port}${path}`, { signal, reset: true })
-    const bytes = Buffer.from(await body.arrayBuffer())
+    const bytes = await readBounded(body, MAX_DOCUMENT_BYTES, () => new SourceError(`the document of ${host} exceeds ${MAX_DOCUMENT_BYTES} bytes`))
     if (statusCode !== STATUS_OK) return
-    const text = headers['content-encoding'] === GZIP ? await unzip(bytes) : bytes
+    const text = headers['content-encoding'] === GZIP ? await unzip(bytes, { maxOutputLength: MAX_DOCUMENT_BYTES }) : bytes
     state.applyDocument(JSON.parse(text.toString('utf8')) as FleetDocument)
   }
 
