Ask again before each stage whether a request ends before a planned stop

Cause: a stream that came 3.8 s after SIGTERM was read, prefilled, begun and cut at the end of the grace period: the estimate held only the decode, by a mean of short outputs. Change: the estimate holds the wait for room, the prefill and the decode of a long output, and is asked at arrival, before the prefill and before the decode; a request that has not run is refused with 503 and what it holds is released.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -63,6 +63,7 @@
   private readonly _roleController: RoleController
   private readonly _metrics = new GatewayMetrics()
   private _phase = Phase.Starting
+  private _stopAtMs: number | undefined
 
   /**
    * @param settings - Validated settings.
@@ -126,7 +127,7 @@
     log.stateChange('stopping', { running: this._ingress.running, graceSeconds: this._settings.bounds.graceSeconds })
     this._heartbeats.leave()
     const endMs = startMs + this._settings.bounds.graceSeconds * MS_PER_SECOND - STOP_MARGIN_MS
-    this._ingress.stopAt(endMs)
+    this._stopAtMs = endMs
     await this._waitUntil(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
     log.stateChange('stopped', { running: this._ingress.running, ms: Math.round(clock.nowMs() - startMs) })
     this._abort.abort()
@@ -153,6 +154,7 @@
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
       hostCount: () => this._heartbeats.hostCount,
+      stopAtMs: () => this._stopAtMs,
       loadAgeMs: () => this._heartbeats.usesRelays ? RELAYED_LOAD_AGE_MS : 0,
       scheduleHeartbeat: () => this._heartbeats.scheduleSend(),
       sendHeartbeatNow: () => this._heartbeats.sendNow()
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -18,7 +18,6 @@
   private readonly _selectForwarder: ForwarderSelector
   private readonly _server: Server
   private _running = 0
-  private _stopAtMs: number | undefined
 
   /**
    * @param context - Components of the host.
@@ -56,21 +55,12 @@
     this._server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  /**
-   * Closes each connection after its next response, and refuses requests that would not end before the host stops.
-   *
-   * @param atMs - Monotonic time at which the host stops, in milliseconds.
-   */
-  stopAt (atMs: number): void {
-    this._stopAtMs = atMs
-  }
-
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this._context.clock.nowMs()
     const metadata = this._context.dialect.requestMetadata(req.headers)
     this._running += 1
     res.once('close', () => { this._running -= 1 })
-    if (this._stopAtMs !== undefined) res.setHeader('Connection', 'close')
+    if (this._context.stopAtMs() !== undefined) res.setHeader('Connection', 'close')
     try {
       const { route, service, version, config } = this._route(req)
       const { signal, deadlineMs } = this._startTimeLimit(res, route, arrivedMs, metadata.deadlineMs)
@@ -79,7 +69,7 @@
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
       const request = { id, req, res, route, service, metadata, version, body, arrivedMs, deadlineMs, signal }
       const forwarder = this._selectForwarder(request)
-      this._checkEndsBeforeStop(forwarder.durationMs(request))
+      forwarder.checkEndsBeforeStop(() => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
       this._refuse(req, res, metadata.requestId, err, arrivedMs)
@@ -99,11 +89,6 @@
     return { route, service, version: config.version, config }
   }
 
-  private _checkEndsBeforeStop (durationMs: number): void {
-    if (this._stopAtMs === undefined || this._context.clock.nowMs() + durationMs <= this._stopAtMs) return
-    throw new RequestError(ErrorKind.Stopping, 'the host stops before the request is expected to end', { retryAfterMs: 0 })
-  }
-
   private _startTimeLimit (
     res: ServerResponse, route: GatewayRoute, arrivedMs: number, callerDeadlineMs: number | undefined
   ): { signal: AbortSignal, deadlineMs: number } {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -57,6 +57,19 @@
    */
   abstract durationMs (request: GatewayRequest): number
 
+  /**
+   * Refuses a request that is not expected to end before this host stops. It must not have run.
+   *
+   * @param durationMs - Returns the longest time that it usually still takes, in milliseconds; called only while the host stops.
+   * @throws RequestError when the host stops before.
+   */
+  checkEndsBeforeStop (durationMs: () => number): void {
+    const { stopAtMs, clock } = this._context
+    const endMs = stopAtMs()
+    if (endMs === undefined || clock.nowMs() + durationMs() <= endMs) return
+    throw new RequestError(ErrorKind.Stopping, 'the host stops before the request is expected to end', { retryAfterMs: 0 })
+  }
+
   /** Estimates the latency of a request: one service time per full set of slots ahead of it, plus the slowdown by concurrent requests. */
   protected _expectedMs ({ id, service, slots }: EndpointRecord, { requests }: OutstandingWork, _tokens: number): number {
     const { latencyModel, clock } = this._context
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -27,6 +27,8 @@
   readonly roleChanges: PendingRoleChanges
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
+  /** Monotonic time at which this host stops, in milliseconds; `undefined` unless it is shutting down. */
+  readonly stopAtMs: () => number | undefined
   /** Time by which the work of the other hosts is known late, in milliseconds. */
   readonly loadAgeMs: () => number
   /** Sends a heartbeat with the changed load as soon as the rate limit allows it. */
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -51,7 +51,13 @@
   }
 
   /** {@inheritDoc Forwarder.durationMs} */
-  durationMs ({ metadata, service }: GatewayRequest): number {
+  durationMs (request: GatewayRequest): number {
+    const waitMs = this._queue(request).size > 0 ? this._backlogMs(request) : 0
+    return waitMs + this._expectedFirstEventMs(request) + this._decodeMs(request)
+  }
+
+  /** Returns the longest usual time of the decode of a request, in milliseconds. */
+  private _decodeMs ({ metadata, service }: GatewayRequest): number {
     const expectedOutputTokens = metadata.prompt?.expectedOutputTokens ?? 0
     return this._context.demand.holdingTimeMs(service.name) * LONG_OUTPUT_FACTOR * expectedOutputTokens / Math.max(1, this._meanOutputTokens)
   }
@@ -214,6 +220,7 @@
 
   /** Prefills and decodes a request. Returns whether another round is needed. */
   private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
+    this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._decodeMs(request), () => this._releaseUnused(request, reservation, undefined))
     const location = this._prefillPlacement.choose(this._placementOptions(request, reservation.endpoint))
     const prompt = location === PrefillLocation.Prefill ? await this._prefill(request, progress, new Set()) : undefined
     if (request.signal.aborted) {
@@ -225,11 +232,23 @@
       this._releaseUnused(request, reservation, prompt)
       return true
     }
+    this._checkStage(request, progress, () => this._decodeMs(request), () => this._releaseUnused(request, reservation, prompt))
     const response = await this._openDecode(request, progress, reservation, prompt)
     if (response === undefined) return true
     return await this._relayStream(request, progress, reservation.endpoint, response)
   }
 
+  /** Refuses a request that has not run and would no longer end before this host stops, and releases what it holds. */
+  private _checkStage (request: GatewayRequest, { runs, relay }: PromptProgress, durationMs: () => number, release: () => void): void {
+    if (runs > 0 || relay.started) return
+    try {
+      this.checkEndsBeforeStop(durationMs)
+    } catch (err) {
+      release()
+      throw err
+    }
+  }
+
   private _isUsable ({ id, service }: EndpointRecord): boolean {
     return this._context.state.directory.usable(service).some(record => record.id === id)
   }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -64,8 +64,8 @@
 /** Longest usual duration of a plain request, as a multiple of its route's latency target. */
 export const PLAIN_DURATION_TARGETS = 3
 
-/** Decode time of an output that is longer than estimated, as a multiple of the expected time. */
-export const LONG_OUTPUT_FACTOR = 1.3
+/** Decode time of an output that is longer than estimated, as a multiple of the expected time; covers most wrong hints. */
+export const LONG_OUTPUT_FACTOR = 1.8
 
 /** Time allowed for an engine to drain before its role changes, in milliseconds; the decode time of a long output. */
 export const ROLE_CHANGE_DRAIN_MS = 8_000
