Give the estimates of prompts and the reservations at engines files of their own

Change: PromptEstimates holds what is learned from earlier requests, EngineReservations asks engines and releases; no behaviour changed. Measured: the tests of streams and of the gateway pass.

--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  callerTimeoutMs, CallOutcome, CapacityProbeLimiter, DelayEstimate, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement, OutputLengthModel,
+  callerTimeoutMs, CallOutcome, CapacityProbeLimiter, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement,
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -12,16 +12,17 @@
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import {
-  DECODE_TOKEN_MS, DIRECT_PREFILL_FACTOR, FIRST_EVENT_INITIAL_MS, FIRST_EVENT_MARGIN_MS, LONG_OUTPUT_FACTOR, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, OUTPUT_LENGTH_WEIGHT,
-  PREFILL_BACKLOG_MS, PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RESERVATION_MARGIN_MS,
-  RESERVE_TIMEOUT_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
+  DECODE_TOKEN_MS, FIRST_EVENT_MARGIN_MS, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS,
+  PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
+import { EngineReservations } from './JaymillEngineReservations.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
-import { directPrefillGroup, prefillGroup } from './JaymillLatencyGroups.js'
+import { prefillGroup } from './JaymillLatencyGroups.js'
+import { PromptEstimates } from './JaymillPromptEstimates.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
-import { kvTokensOf, promptTokensOf, reservedTokensOf } from './JaymillPromptSize.js'
+import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
@@ -34,12 +35,9 @@
  */
 export class PromptForwarder extends Forwarder {
   private readonly _queues = new Map<string, CapacityQueue>()
-  /** Time from the end of a prefill to the first event, for each service. */
-  private readonly _firstEventDelays = new Map<string, DelayEstimate>()
-  private readonly _outputLengthModels = new Map<string, OutputLengthModel>()
-  /** Moving average of estimated output lengths, in tokens. */
-  private _meanOutputTokens = 0
+  private readonly _estimates: PromptEstimates
   private readonly _probeLimiter = new CapacityProbeLimiter()
+  private readonly _reservations: EngineReservations
   private readonly _prefillPlacement: PrefillPlacement = new LatencyTargetPlacement()
 
   /**
@@ -47,45 +45,27 @@
    */
   constructor (context: ForwardingContext) {
     super(context)
+    this._estimates = new PromptEstimates(context)
+    this._reservations = new EngineReservations(context, this._probeLimiter, endpoint => this._recordOutcome(endpoint, CallOutcome.Unreachable))
     context.load.onFreed(() => this._queues.forEach(queue => queue.capacityFreed()))
   }
 
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs (request: GatewayRequest): number {
     const waitMs = this._queue(request).size > 0 ? this._backlogMs(request) : 0
-    return waitMs + this._expectedFirstEventMs(request) + this._decodeMs(request)
-  }
-
-  /** Returns the longest usual time of the decode of a request, in milliseconds. */
-  private _decodeMs ({ metadata, service }: GatewayRequest): number {
-    const expectedOutputTokens = metadata.prompt?.expectedOutputTokens ?? 0
-    return this._context.demand.holdingTimeMs(service.name) * LONG_OUTPUT_FACTOR * expectedOutputTokens / Math.max(1, this._meanOutputTokens)
+    return waitMs + this._expectedFirstEventMs(request) + this._estimates.decodeMs(request)
   }
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (original: GatewayRequest): Promise<void> {
     const { budget, demand, clock } = this._context
-    const request = this._withExpectedOutput(original)
+    const request = this._estimates.withExpectedOutput(original)
     const hintTokens = original.metadata.prompt?.expectedOutputTokens ?? 0
     budget.countRequest(request.service.name, clock.nowMs())
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
     await this._round(request, { relay: new StreamRelay(request), hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
   }
 
-  /** Replaces the caller's estimate of the output length by that of the model. */
-  private _withExpectedOutput (request: GatewayRequest): GatewayRequest {
-    const { prompt } = request.metadata
-    if (prompt === undefined) return request
-    const expectedOutputTokens = this._outputLengthModel(request).expectedTokens(prompt.expectedOutputTokens)
-    return { ...request, metadata: { ...request.metadata, prompt: { ...prompt, expectedOutputTokens } } }
-  }
-
-  private _outputLengthModel ({ service }: GatewayRequest): OutputLengthModel {
-    const model = this._outputLengthModels.get(service.name) ?? new OutputLengthModel()
-    this._outputLengthModels.set(service.name, model)
-    return model
-  }
-
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
     progress.rounds += 1
     const reservationEnded = new AbortController()
@@ -106,12 +86,6 @@
     await this._round(request, progress)
   }
 
-  private _recordHoldingTime ({ metadata, service }: GatewayRequest, ms: number): void {
-    const expectedOutputTokens = metadata.prompt?.expectedOutputTokens ?? 0
-    this._context.demand.recordHoldingTime(service.name, ms)
-    this._meanOutputTokens += (expectedOutputTokens - this._meanOutputTokens) * (this._meanOutputTokens === 0 ? 1 : OUTPUT_LENGTH_WEIGHT)
-  }
-
   private _mayRetry (request: GatewayRequest, { runs, rounds }: PromptProgress): boolean {
     if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
@@ -134,10 +108,10 @@
       cost: kvTokensOf(request) * (metadata.prompt?.expectedOutputTokens ?? 0),
       isRetry: isRetry || progress.rounds > 1,
       signal,
-      reserve: async () => this._expectedPrefillMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._reserveFirst(request, this._enginesToProbe(request, progress))
+      reserve: async () => this._expectedPrefillMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._reservations.reserveFirst(request, this._enginesToProbe(request, progress), this._expectedPrefillMs(request))
     })
     if (reservation !== undefined && !signal.aborted) return reservation
-    if (reservation !== undefined) this._releaseUnused(request, reservation, undefined)
+    if (reservation !== undefined) this._reservations.release(request, reservation, undefined)
     if (signal.aborted || progress.relay.started) throw this._finalError(request, progress)
     throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
@@ -178,61 +152,21 @@
     return due.slice(0, MAX_PROBES_PER_PASS)
   }
 
-  private async _reserveFirst (request: GatewayRequest, ranked: readonly EndpointRecord[]): Promise<Reservation | undefined> {
-    const [endpoint, ...rest] = ranked
-    if (endpoint === undefined || request.signal.aborted) return undefined
-    return await this._reserveAt(request, endpoint) ?? await this._reserveFirst(request, rest)
-  }
-
-  private async _reserveAt (request: GatewayRequest, endpoint: EndpointRecord): Promise<Reservation | undefined> {
-    const { engines, log, metrics, load, clock } = this._context
-    const limit = new TimeLimit(request.signal, RESERVE_TIMEOUT_MS)
-    const startMs = clock.nowMs()
-    this._probeLimiter.recordProbe(endpoint.id, startMs)
-    const work = load.at(endpoint.id)
-    const tokens = reservedTokensOf(request)
-    const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * this._expectedPrefillMs(request))
-    try {
-      const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
-      const outcome = reservation === undefined ? 'full' : 'reserved'
-      if (reservation === undefined) this._probeLimiter.recordRefusal(endpoint.id, clock.nowMs())
-      metrics.recordCall('reserve', outcome)
-      log.request(request.id, 'reservation', {
-        endpoint: endpoint.id,
-        outcome,
-        tokens,
-        outstanding: work.requests,
-        outstandingTokens: work.tokens,
-        ms: Math.round(clock.nowMs() - startMs),
-        directory: this._context.state.directory.revision
-      })
-      return reservation
-    } catch (err) {
-      if (!(err instanceof ExchangeError)) throw err
-      if (!request.signal.aborted) this._recordOutcome(endpoint, CallOutcome.Unreachable)
-      metrics.recordCall('reserve', err.failure)
-      log.request(request.id, 'reservation', { endpoint: endpoint.id, outcome: err.failure, reason: err.message })
-      return undefined
-    } finally {
-      limit.dispose()
-    }
-  }
-
   /** Prefills and decodes a request. Returns whether another round is needed. */
   private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
-    this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._decodeMs(request), () => this._releaseUnused(request, reservation, undefined))
+    this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._estimates.decodeMs(request), () => this._reservations.release(request, reservation, undefined))
     const location = this._prefillPlacement.choose(this._placementOptions(request, reservation.endpoint))
     const prompt = location === PrefillLocation.Prefill ? await this._prefill(request, progress, new Set()) : undefined
     if (request.signal.aborted) {
-      this._releaseUnused(request, reservation, prompt)
+      this._reservations.release(request, reservation, prompt)
       throw this._finalError(request, progress)
     }
     if (!this._isUsable(reservation.endpoint)) {
       this._context.log.request(request.id, 'reserved engine left', { endpoint: reservation.endpoint.id, directory: this._context.state.directory.revision })
-      this._releaseUnused(request, reservation, prompt)
+      this._reservations.release(request, reservation, prompt)
       return true
     }
-    this._checkStage(request, progress, () => this._decodeMs(request), () => this._releaseUnused(request, reservation, prompt))
+    this._checkStage(request, progress, () => this._estimates.decodeMs(request), () => this._reservations.release(request, reservation, prompt))
     const response = await this._openDecode(request, progress, reservation, prompt)
     if (response === undefined) return true
     return await this._relayStream(request, progress, reservation.endpoint, response)
@@ -314,7 +248,7 @@
       limit.cancelTimeout()
       directPrefill.abort()
       const readAt = prompt?.endpoint.id ?? endpoint.id
-      if (verdict === ResponseVerdict.Success) this._recordFirstEvent(request, endpoint, { ms: clock.nowMs() - startMs, queuedTokens, direct: prompt === undefined })
+      if (verdict === ResponseVerdict.Success) this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms: clock.nowMs() - startMs, direct: prompt === undefined, queuedTokens })
       log.request(request.id, 'decode', { endpoint: endpoint.id, readAt, verdict, reason, afterEvent: progress.relay.lastEventId, ms: Math.round(clock.nowMs() - startMs) })
     }
     try {
@@ -327,7 +261,7 @@
       if (!(err instanceof ExchangeError)) throw err
       const notRun = err.ran === RanState.No
       finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
-      this._releaseUnused(request, reservation, prompt)
+      this._reservations.release(request, reservation, prompt)
       if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
       if (!notRun) progress.runs += 1
       progress.avoidedIds.add(endpoint.id)
@@ -335,16 +269,6 @@
     }
   }
 
-  /** Learns how long the first event takes after a prefill elsewhere, or how long a prefill at a decode engine takes. */
-  private _recordFirstEvent (
-    request: GatewayRequest, { id }: EndpointRecord, { ms, queuedTokens, direct }: { readonly ms: number, readonly queuedTokens: number, readonly direct: boolean }
-  ): void {
-    const { latencyModel, clock } = this._context
-    const group = directPrefillGroup(request.service.name)
-    if (direct) latencyModel.addMeasurement({ group, endpointId: id }, queuedTokens + promptTokensOf(request), ms, clock.nowMs())
-    else this._firstEventDelay(request).add(ms)
-  }
-
   private async _handleDecodeResponse (
     request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: PrefilledPrompt | undefined,
     response: StreamedResponse, verdict: ResponseVerdict
@@ -352,7 +276,7 @@
     const { endpoint } = reservation
     if (verdict === ResponseVerdict.NotRun) {
       response.body.destroy()
-      this._releaseUnused(request, reservation, prompt)
+      this._reservations.release(request, reservation, prompt)
       this._recordOutcome(endpoint, CallOutcome.Unreachable)
       progress.avoidedIds.add(endpoint.id)
       return undefined
@@ -394,8 +318,7 @@
     })
     if (end === RelayOutcome.Complete) {
       metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
-      this._recordHoldingTime(request, clock.nowMs() - startMs)
-      if (request.metadata.lastEventId === undefined) this._outputLengthModel(request).add(progress.hintTokens, progress.relay.bytes)
+      this._estimates.recordCompleted(request, progress.hintTokens, progress.relay.bytes, clock.nowMs() - startMs)
     }
     if (end === RelayOutcome.Broken) {
       this._recordOutcome(endpoint, CallOutcome.Failure)
@@ -406,13 +329,6 @@
     return false
   }
 
-  private _releaseUnused (request: GatewayRequest, reservation: Reservation, prompt: PrefilledPrompt | undefined): void {
-    const { engines, log } = this._context
-    const failed = (what: string) => (err: Error) => log.request(request.id, 'release failed', { what, reason: err.message })
-    engines.release(reservation).catch(failed('reservation'))
-    if (prompt !== undefined) engines.free(prompt.endpoint, prompt.handle).catch(failed('prompt'))
-  }
-
   private _finalError (request: GatewayRequest, { runs, relay }: PromptProgress): RequestError {
     if (request.signal.aborted) return this._abortError(request, runs > 0 || relay.started)
     if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no engine returned a complete response', { ran: RanState.Unknown })
@@ -451,34 +367,17 @@
 
   private _placementOptions (request: GatewayRequest, engine?: EndpointRecord): PrefillPlacementOptions {
     const engines = engine === undefined ? this._pool(request, EngineRole.Decode) : [engine]
-    const decodeEngineMs = Math.min(...engines.map(({ id }) => this._directPrefillMs(request, id)))
-    const remainingMs = request.arrivedMs + request.route.targetLatencyMs - this._firstEventDelay(request).upperMs - this._context.clock.nowMs()
+    const decodeEngineMs = Math.min(...engines.map(({ id }) => this._estimates.directPrefillMs(request, id)))
+    const remainingMs = request.arrivedMs + request.route.targetLatencyMs - this._estimates.firstEventMs(request) - this._context.clock.nowMs()
     return { prefillEngineMs: this._prefillEngineMs(request), decodeEngineMs, remainingMs }
   }
 
-  /** Returns the expected time of a prefill at a decode engine, in milliseconds. */
-  private _directPrefillMs (request: GatewayRequest, engineId: string): number {
-    const { latencyModel, directPrefills, clock } = this._context
-    const service = request.service.name
-    const nowMs = clock.nowMs()
-    const tokens = promptTokensOf(request)
-    const prefillMs = latencyModel.expectedMs({ group: prefillGroup(service), endpointId: '' }, tokens, PREFILL_INITIAL_TOKEN_MS, nowMs)
-    const initialTokenMs = DIRECT_PREFILL_FACTOR * prefillMs / Math.max(1, tokens)
-    return latencyModel.expectedMs({ group: directPrefillGroup(service), endpointId: engineId }, directPrefills.at(engineId).tokens + tokens, initialTokenMs, nowMs)
-  }
-
-  private _firstEventDelay ({ service }: GatewayRequest): DelayEstimate {
-    const delay = this._firstEventDelays.get(service.name) ?? new DelayEstimate(FIRST_EVENT_INITIAL_MS)
-    this._firstEventDelays.set(service.name, delay)
-    return delay
-  }
-
   /** Returns the expected prefill time at the chosen location, in milliseconds. */
   private _expectedPrefillMs (request: GatewayRequest): number {
     return this._prefillPlacement.expectedMs(this._placementOptions(request))
   }
 
   private _expectedFirstEventMs (request: GatewayRequest): number {
-    return this._firstEventDelay(request).upperMs + this._expectedPrefillMs(request)
+    return this._estimates.firstEventMs(request) + this._expectedPrefillMs(request)
   }
 }
