Reserve all that a request counts for while the load is known late

Change: while the load is late, the reservation is what hosts count (0.9 of the output); in small fleets nothing changes. Test: an engine then grants no more than hosts count (fails without the change).

--- a/packages/core/src/__tests__/unit/gateway/JaymillKvOccupancy.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillKvOccupancy.test.ts
@@ -57,7 +57,7 @@
     const [next] = waiting
     if (next !== undefined) {
       const size = { promptTokens: PROMPT_TOKENS, outputTokens: expected?.expectedTokens(next.hintTokens) ?? next.hintTokens }
-      const run = { job: next, startedMs: nowMs, occupied: occupancy.occupiedTokens(size), reserved: occupancy.reservedTokens(size), tokens: PROMPT_TOKENS, done: 0 }
+      const run = { job: next, startedMs: nowMs, occupied: occupancy.occupiedTokens(size), reserved: occupancy.reservedTokens(size, false), tokens: PROMPT_TOKENS, done: 0 }
       const fits = sum(({ occupied }) => occupied) + run.occupied <= ENGINE_TOKENS && sum(heldTokens) + run.reserved <= ENGINE_TOKENS
       if (fits) {
         runs = [...runs, run]
@@ -92,7 +92,13 @@
   const occupancy = new SharedOutputOccupancy()
   const size = { promptTokens: 5_000, outputTokens: 400 }
   expect(occupancy.occupiedTokens(size)).toBe(5_360)
-  expect(occupancy.reservedTokens(size)).toBe(5_100)
+  expect(occupancy.reservedTokens(size, false)).toBe(5_100)
+})
+
+test('outputs as large as prompts, load known late: an engine grants no more than hosts count', () => {
+  const occupancy = new SharedOutputOccupancy()
+  const size = { promptTokens: 5_000, outputTokens: 4_500 }
+  expect(occupancy.reservedTokens(size, true)).toBe(occupancy.occupiedTokens(size))
 })
 
 test('the model draws estimates from noisy hints towards the mean', () => {
--- a/packages/gateway/src/forwarding/JaymillEngineReservations.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineReservations.ts
@@ -54,12 +54,12 @@
   }
 
   private async _reserveAt (request: GatewayRequest, endpoint: EndpointRecord, prefillMs: number): Promise<Reservation | undefined> {
-    const { engines, log, metrics, load, clock } = this._context
+    const { engines, log, metrics, load, loadAgeMs, clock } = this._context
     const limit = new TimeLimit(request.signal, RESERVE_TIMEOUT_MS)
     const startMs = clock.nowMs()
     this._probeLimiter.recordProbe(endpoint.id, startMs)
     const work = load.at(endpoint.id)
-    const tokens = reservedTokensOf(request)
+    const tokens = reservedTokensOf(request, loadAgeMs() > 0)
     const ttlMs = Math.min(request.service.engine?.reservationMaxMs ?? RESERVATION_MARGIN_MS, RESERVATION_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * prefillMs)
     try {
       const reservation = await engines.reserve({ endpoint, tokens, ttlMs }, limit.signal)
--- a/packages/gateway/src/forwarding/JaymillPromptSize.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptSize.ts
@@ -23,10 +23,11 @@
 
 /**
  * @param request - A generation request.
+ * @param isLoadLate - Whether the work of other hosts is known late.
  * @returns The KV cache to reserve for it, in tokens.
  */
-export function reservedTokensOf (request: SizedRequest): number {
-  return OCCUPANCY.reservedTokens({ promptTokens: promptTokensOf(request), outputTokens: outputTokensOf(request) })
+export function reservedTokensOf (request: SizedRequest, isLoadLate: boolean): number {
+  return OCCUPANCY.reservedTokens({ promptTokens: promptTokensOf(request), outputTokens: outputTokensOf(request) }, isLoadLate)
 }
 
 function outputTokensOf ({ metadata: { prompt } }: SizedRequest): number {
