Measure a batch of changes once, and estimate a prefill once for a reservation

Cause: read again, the size of the recent endpoint changes was computed for each message to another host, and the expected prefill time, a pass over all engines, twice for each attempt to reserve. Change: the size is kept with the batch; the estimate is passed on. No behaviour changed. Conclusion: less work on the hot path.

--- a/packages/gateway/src/fleet/JaymillFleetState.ts
+++ b/packages/gateway/src/fleet/JaymillFleetState.ts
@@ -32,8 +32,12 @@
   readonly graceMs: number
 }
 
-/** Endpoint changes of one update, with the monotonic time at which they were applied, in milliseconds. */
-interface AppliedBatch extends ChangeBatch {
+/** Endpoint changes of one update that this host has applied. */
+interface AppliedBatch {
+  readonly batch: ChangeBatch
+  /** Size as JSON, in bytes. */
+  readonly bytes: number
+  /** Monotonic time at which they were applied, in milliseconds. */
   readonly appliedMs: number
 }
 
@@ -140,7 +144,7 @@
     if (config !== undefined) this._applyConfig(config, origin)
     const baseRevision = this._directory.revision
     const isNewer = revision > baseRevision
-    if (isNewer) this._recentChanges = [...this._recentChanges, { baseRevision, changes: endpoints, appliedMs: this._clock.nowMs() }].slice(-MAX_STORED_CHANGES)
+    if (isNewer) this._storeBatch({ baseRevision, changes: endpoints })
     this._notify(this._directory.apply(endpoints, revision, this._clock.nowMs()), origin)
     if (isNewer) this._updateListeners.forEach(listener => listener(origin))
   }
@@ -194,9 +198,8 @@
   latestBatches (maxBytes: number): readonly ChangeBatch[] {
     const sinceMs = this._clock.nowMs() - RECENT_CHANGES_MS
     const recent = this._recentChanges.filter(({ appliedMs }) => appliedMs >= sinceMs)
-    const batches = recent.map(({ baseRevision, changes }) => ({ baseRevision, changes }))
-    const sizes = batches.map(batch => JSON.stringify(batch).length)
-    return batches.filter((_, i) => sizes.slice(i).reduce((sum, size) => sum + size, 0) <= maxBytes)
+    const tooOld = recent.findLastIndex((_, i) => recent.slice(i).reduce((sum, { bytes }) => sum + bytes, 0) > maxBytes)
+    return recent.slice(tooOld + 1).map(({ batch }) => batch)
   }
 
   /**
@@ -216,8 +219,13 @@
   /** Returns the changes since a revision; `undefined` when they are no longer stored. */
   private _changesAfter (revision: number): readonly EndpointChange[] | undefined {
     if (revision === this._directory.revision) return []
-    const first = this._recentChanges.findIndex(({ baseRevision }) => baseRevision === revision)
-    return first < 0 ? undefined : this._recentChanges.slice(first).flatMap(({ changes }) => changes)
+    const first = this._recentChanges.findIndex(({ batch }) => batch.baseRevision === revision)
+    return first < 0 ? undefined : this._recentChanges.slice(first).flatMap(({ batch }) => batch.changes)
+  }
+
+  private _storeBatch (batch: ChangeBatch): void {
+    const applied = { batch, bytes: JSON.stringify(batch).length, appliedMs: this._clock.nowMs() }
+    this._recentChanges = [...this._recentChanges, applied].slice(-MAX_STORED_CHANGES)
   }
 
   private _applyConfig (config: GatewayConfig, origin: Origin): void {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -108,7 +108,7 @@
       cost: kvTokensOf(request) * (metadata.prompt?.expectedOutputTokens ?? 0),
       isRetry: isRetry || progress.rounds > 1,
       signal,
-      reserve: async () => this._expectedPrefillMs(request) > PREFILL_BACKLOG_MS ? undefined : await this._reservations.reserveFirst(request, this._enginesToProbe(request, progress), this._expectedPrefillMs(request))
+      reserve: async () => await this._tryReserve(request, progress)
     })
     if (reservation !== undefined && !signal.aborted) return reservation
     if (reservation !== undefined) this._reservations.release(request, reservation, undefined)
@@ -116,6 +116,12 @@
     throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
 
+  private async _tryReserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation | undefined> {
+    const prefillMs = this._expectedPrefillMs(request)
+    if (prefillMs > PREFILL_BACKLOG_MS) return undefined
+    return await this._reservations.reserveFirst(request, this._enginesToProbe(request, progress), prefillMs)
+  }
+
   private _queue (request: GatewayRequest): CapacityQueue {
     const service = request.service.name
     const existing = this._queues.get(service)
