Log the estimates of a stopping host, and the requests that its end cuts

Cause: after requests were lost around planned stops, the log could not tell a wrong estimate from a repeated signal or from a request that was still waiting. Change: a line for each check of a request while the host stops, with estimate and time left; a line for each request whose connection the end of the stop closes; a line for a repeated stop. No decision changes.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -120,8 +120,11 @@
    * @returns When no request is running any more, or shortly before the grace period ends.
    */
   async stop (): Promise<void> {
-    if (this._phase === Phase.Stopping) return
     const { log, clock } = this._adapters
+    if (this._phase === Phase.Stopping) {
+      log.stateChange('already stopping', { running: this._ingress.running })
+      return
+    }
     const startMs = clock.nowMs()
     this._phase = Phase.Stopping
     log.stateChange('stopping', { running: this._ingress.running, graceSeconds: this._settings.bounds.graceSeconds })
@@ -129,6 +132,7 @@
     const endMs = startMs + this._settings.bounds.graceSeconds * MS_PER_SECOND - STOP_MARGIN_MS
     this._stopAtMs = endMs
     await this._waitUntil(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
+    this._ingress.logUnfinished()
     log.stateChange('stopped', { running: this._ingress.running, ms: Math.round(clock.nowMs() - startMs) })
     this._abort.abort()
   }
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -12,12 +12,20 @@
 /** Selects the forwarder for a request. */
 export type ForwarderSelector = (request: GatewayRequest) => Forwarder
 
+/** A request in progress. */
+interface RunningRequest {
+  readonly id: string
+  readonly res: ServerResponse
+  /** Monotonic time at which its header was received, in milliseconds. */
+  readonly arrivedMs: number
+}
+
 /** Listener for callers. Reads requests, matches them to routes and passes them to forwarders. */
 export class Ingress {
   private readonly _context: ForwardingContext
   private readonly _selectForwarder: ForwarderSelector
   private readonly _server: Server
-  private _running = 0
+  private readonly _running = new Set<RunningRequest>()
 
   /**
    * @param context - Components of the host.
@@ -32,7 +40,7 @@
 
   /** Number of requests in progress. */
   get running (): number {
-    return this._running
+    return this._running.size
   }
 
   /**
@@ -55,11 +63,20 @@
     this._server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
+  /** Logs the requests in progress when the end of a stop closes their connections. */
+  logUnfinished (): void {
+    const { log, clock } = this._context
+    this._running.forEach(({ id, res, arrivedMs }) => {
+      log.request(id, 'cut by the stop', { started: res.headersSent, ms: Math.round(clock.nowMs() - arrivedMs) })
+    })
+  }
+
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this._context.clock.nowMs()
     const metadata = this._context.dialect.requestMetadata(req.headers)
-    this._running += 1
-    res.once('close', () => { this._running -= 1 })
+    const running = { id: metadata.requestId ?? '', res, arrivedMs }
+    this._running.add(running)
+    res.once('close', () => { this._running.delete(running) })
     if (this._context.stopAtMs() !== undefined) res.setHeader('Connection', 'close')
     try {
       const { route, service, version, config } = this._route(req)
@@ -69,7 +86,7 @@
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
       const request = { id, req, res, route, service, metadata, version, body, arrivedMs, deadlineMs, signal }
       const forwarder = this._selectForwarder(request)
-      forwarder.checkEndsBeforeStop(() => forwarder.durationMs(request))
+      forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
       this._refuse(req, res, metadata.requestId, err, arrivedMs)
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -60,14 +60,19 @@
   /**
    * Refuses a request that is not expected to end before this host stops. It must not have run.
    *
+   * @param request - The request.
    * @param durationMs - Returns the longest time that it usually still takes, in milliseconds; called only while the host stops.
    * @throws RequestError when the host stops before.
    */
-  checkEndsBeforeStop (durationMs: () => number): void {
-    const { stopAtMs, clock } = this._context
+  checkEndsBeforeStop (request: GatewayRequest, durationMs: () => number): void {
+    const { stopAtMs, clock, log } = this._context
     const endMs = stopAtMs()
-    if (endMs === undefined || clock.nowMs() + durationMs() <= endMs) return
-    throw new RequestError(ErrorKind.Stopping, 'the host stops before the request is expected to end', { retryAfterMs: 0 })
+    if (endMs === undefined) return
+    const leftMs = endMs - clock.nowMs()
+    const expectedMs = durationMs()
+    const ends = expectedMs <= leftMs
+    log.request(request.id, 'checked while stopping', { ends, expectedMs: Math.round(expectedMs), leftMs: Math.round(leftMs), ms: this._elapsedMs(request) })
+    if (!ends) throw new RequestError(ErrorKind.Stopping, 'the host stops before the request is expected to end', { retryAfterMs: 0 })
   }
 
   /** Estimates the latency of a request: one service time per full set of slots ahead of it, plus the slowdown by concurrent requests. */
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -182,7 +182,7 @@
   private _checkStage (request: GatewayRequest, { runs, relay }: PromptProgress, durationMs: () => number, release: () => void): void {
     if (runs > 0 || relay.started) return
     try {
-      this.checkEndsBeforeStop(durationMs)
+      this.checkEndsBeforeStop(request, durationMs)
     } catch (err) {
       release()
       throw err
