Late in a planned stop, run only requests whose time limit ends before it

Cause: a stopping host accepted a request if the longest usual time of its wait, prefill and decode ended before the stop. Change: for 3 s after SIGTERM, while the load balancer may not know yet, the estimate still decides; later a request is accepted only if its own time limit ends before the stop, which a timer enforces. It is asked at admission, before the prefill and before the decode, for prompts, plain streams and plain requests alike. What is refused has not run (503, Retry-After 0). What was sent before or within 3 s and lasts longer than the grace period is still cut; no host can finish it.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -9,6 +9,7 @@
 import type { GatewayRequest } from './callers/JaymillGatewayRequest.js'
 import { Ingress } from './callers/JaymillIngress.js'
 import { listenOn } from './callers/JaymillListener.js'
+import type { PlannedStop } from './callers/JaymillPlannedStop.js'
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
 import { FleetState } from './fleet/JaymillFleetState.js'
@@ -63,7 +64,7 @@
   private readonly _roleController: RoleController
   private readonly _metrics = new GatewayMetrics()
   private _phase = Phase.Starting
-  private _stopAtMs: number | undefined
+  private _plannedStop: PlannedStop | undefined
 
   /**
    * @param settings - Validated settings.
@@ -130,7 +131,7 @@
     log.stateChange('stopping', { running: this._ingress.running, graceSeconds: this._settings.bounds.graceSeconds })
     this._heartbeats.leave()
     const endMs = startMs + this._settings.bounds.graceSeconds * MS_PER_SECOND - STOP_MARGIN_MS
-    this._stopAtMs = endMs
+    this._plannedStop = { acceptUntilMs: startMs + STOP_ACCEPT_MS, endMs }
     await this._waitUntil(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
     this._ingress.logUnfinished()
     log.stateChange('stopped', { running: this._ingress.running, ms: Math.round(clock.nowMs() - startMs) })
@@ -158,7 +159,7 @@
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
       hostCount: () => this._heartbeats.hostCount,
-      stopAtMs: () => this._stopAtMs,
+      plannedStop: () => this._plannedStop,
       loadAgeMs: () => this._heartbeats.usesRelays ? RELAYED_LOAD_AGE_MS : 0,
       scheduleHeartbeat: () => this._heartbeats.scheduleSend(),
       sendHeartbeatNow: () => this._heartbeats.sendNow()
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -77,7 +77,7 @@
     const running = { id: metadata.requestId ?? '', res, arrivedMs }
     this._running.add(running)
     res.once('close', () => { this._running.delete(running) })
-    if (this._context.stopAtMs() !== undefined) res.setHeader('Connection', 'close')
+    if (this._context.plannedStop() !== undefined) res.setHeader('Connection', 'close')
     try {
       const { route, service, version, config } = this._route(req)
       const { signal, deadlineMs } = this._startTimeLimit(res, route, arrivedMs, metadata.deadlineMs)
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -58,21 +58,25 @@
   abstract durationMs (request: GatewayRequest): number
 
   /**
-   * Refuses a request that is not expected to end before this host stops. It must not have run.
+   * Refuses a request that may not end before this host stops. It must not have run. The estimate of its duration can be wrong,
+   * so it is enough only while callers cannot know yet that the host stops; later the time limit of the request has to end
+   * before the stop.
    *
    * @param request - The request.
    * @param durationMs - Returns the longest time that it usually still takes, in milliseconds; called only while the host stops.
-   * @throws RequestError when the host stops before.
+   * @throws RequestError when the host may stop before.
    */
   checkEndsBeforeStop (request: GatewayRequest, durationMs: () => number): void {
-    const { stopAtMs, clock, log } = this._context
-    const endMs = stopAtMs()
-    if (endMs === undefined) return
-    const leftMs = endMs - clock.nowMs()
+    const { plannedStop, clock, log } = this._context
+    const stop = plannedStop()
+    if (stop === undefined) return
+    const { arrivedMs, deadlineMs } = request
+    const leftMs = stop.endMs - clock.nowMs()
     const expectedMs = durationMs()
-    const ends = expectedMs <= leftMs
-    log.request(request.id, 'checked while stopping', { ends, expectedMs: Math.round(expectedMs), leftMs: Math.round(leftMs), ms: this._elapsedMs(request) })
-    if (!ends) throw new RequestError(ErrorKind.Stopping, 'the host stops before the request is expected to end', { retryAfterMs: 0 })
+    const bounded = deadlineMs <= stop.endMs
+    const ends = bounded || (arrivedMs <= stop.acceptUntilMs && expectedMs <= leftMs)
+    log.request(request.id, 'checked while stopping', { ends, bounded, expectedMs: Math.round(expectedMs), leftMs: Math.round(leftMs), ms: this._elapsedMs(request) })
+    if (!ends) throw new RequestError(ErrorKind.Stopping, 'the host may stop before the request ends', { retryAfterMs: 0 })
   }
 
   /** Estimates the latency of a request: one service time per full set of slots ahead of it, plus the slowdown by concurrent requests. */
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -1,4 +1,5 @@
 import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ServiceLatencyModel } from '@jaymill/core'
+import type { PlannedStop } from '../callers/JaymillPlannedStop.js'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -27,8 +28,8 @@
   readonly roleChanges: PendingRoleChanges
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
-  /** Monotonic time at which this host stops, in milliseconds; `undefined` unless it is shutting down. */
-  readonly stopAtMs: () => number | undefined
+  /** Planned stop of this host; `undefined` unless it is shutting down. */
+  readonly plannedStop: () => PlannedStop | undefined
   /** Time by which the work of the other hosts is known late, in milliseconds. */
   readonly loadAgeMs: () => number
   /** Sends a heartbeat with the changed load as soon as the rate limit allows it. */
