Let further signals wait for the planned stop that is in progress

What callers see: a second SIGTERM during a planned stop, as from an operator or a supervisor that repeats it, closes all connections at once and cuts the requests in progress. Cause: Gateway.stop returned at once when it was called again, and the program exits when stop returns. Change: every call of stop waits for the same stop.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -65,6 +65,7 @@
   private readonly _metrics = new GatewayMetrics()
   private _phase = Phase.Starting
   private _plannedStop: PlannedStop | undefined
+  private _stopped: Promise<void> | undefined
 
   /**
    * @param settings - Validated settings.
@@ -118,14 +119,16 @@
   /**
    * Stops gracefully: announces the shutdown to the other hosts, lets running requests finish, then closes all listeners.
    *
-   * @returns When no request is running any more, or shortly before the grace period ends.
+   * @returns When no request is running any more, or shortly before the grace period ends; every call waits for the same stop.
    */
   async stop (): Promise<void> {
+    if (this._stopped !== undefined) this._adapters.log.stateChange('already stopping', { running: this._ingress.running })
+    this._stopped ??= this._stop()
+    await this._stopped
+  }
+
+  private async _stop (): Promise<void> {
     const { log, clock } = this._adapters
-    if (this._phase === Phase.Stopping) {
-      log.stateChange('already stopping', { running: this._ingress.running })
-      return
-    }
     const startMs = clock.nowMs()
     this._phase = Phase.Stopping
     log.stateChange('stopping', { running: this._ingress.running, graceSeconds: this._settings.bounds.graceSeconds })
