Respond to the requests that the end of a planned stop gives up

What callers see: a request that is still waiting for capacity, or whose endpoint has not answered, when a planned stop ends loses its connection without a response; its caller cannot tell whether it has run and whether it may be sent again. Cause: at the end of the stop the host closed all connections; nothing told the forwarders. Change: the end of the stop aborts each request with a reason of its own. The forwarders release reservations and prompts and respond as for other aborts: 503 with Retry-After 0 to what has not run, 504 to what may have. The host waits up to 150 ms for these, then closes the connections, still 0.25 s before the grace period ends.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -5,7 +5,7 @@
   PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
-import { STOP_ACCEPT_MS, STOP_MARGIN_MS } from './callers/constants.js'
+import { STOP_ACCEPT_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
 import type { GatewayRequest } from './callers/JaymillGatewayRequest.js'
 import { Ingress } from './callers/JaymillIngress.js'
 import { listenOn } from './callers/JaymillListener.js'
@@ -136,7 +136,9 @@
     const endMs = startMs + this._settings.bounds.graceSeconds * MS_PER_SECOND - STOP_MARGIN_MS
     this._plannedStop = { acceptUntilMs: startMs + STOP_ACCEPT_MS, endMs }
     await this._waitUntil(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
-    this._ingress.logUnfinished()
+    this._ingress.abortUnfinished()
+    const responseEndMs = clock.nowMs() + STOP_RESPONSE_MS
+    await this._waitUntil(() => this._ingress.running === 0 || clock.nowMs() >= responseEndMs)
     log.stateChange('stopped', { running: this._ingress.running, ms: Math.round(clock.nowMs() - startMs) })
     this._abort.abort()
   }
--- a/packages/gateway/src/callers/JaymillGatewayRequest.ts
+++ b/packages/gateway/src/callers/JaymillGatewayRequest.ts
@@ -5,7 +5,9 @@
 /** Why a request was aborted before its response was complete. */
 export enum AbortReason {
   CallerGone = 'caller-gone',
-  Timeout = 'timeout'
+  Timeout = 'timeout',
+  /** The planned stop of this host has ended. */
+  Stopped = 'stopped'
 }
 
 /** A caller's request with its body and its matching route. */
@@ -23,6 +25,6 @@
   readonly arrivedMs: number
   /** Monotonic time at which the request times out, in milliseconds. */
   readonly deadlineMs: number
-  /** Aborts with an `AbortReason` when the caller disconnects or the request times out. */
+  /** Aborts with an `AbortReason` when the caller disconnects, the request times out or this host stops. */
   readonly signal: AbortSignal
 }
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -18,6 +18,8 @@
   readonly res: ServerResponse
   /** Monotonic time at which its header was received, in milliseconds. */
   readonly arrivedMs: number
+  /** Aborts the request with an `AbortReason`. */
+  readonly abort: AbortController
 }
 
 /** Listener for callers. Reads requests, matches them to routes and passes them to forwarders. */
@@ -63,24 +65,27 @@
     this._server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  /** Logs the requests in progress when the end of a stop closes their connections. */
-  logUnfinished (): void {
+  /** Gives up the requests in progress at the end of a planned stop. Those whose response has not started get a problem document. */
+  abortUnfinished (): void {
     const { log, clock } = this._context
-    this._running.forEach(({ id, res, arrivedMs }) => {
+    this._running.forEach(({ id, res, arrivedMs, abort }) => {
       log.request(id, 'cut by the stop', { started: res.headersSent, ms: Math.round(clock.nowMs() - arrivedMs) })
+      abort.abort(AbortReason.Stopped)
     })
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this._context.clock.nowMs()
     const metadata = this._context.dialect.requestMetadata(req.headers)
-    const running = { id: metadata.requestId ?? '', res, arrivedMs }
+    const abort = new AbortController()
+    const running = { id: metadata.requestId ?? '', res, arrivedMs, abort }
     this._running.add(running)
     res.once('close', () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) res.setHeader('Connection', 'close')
     try {
       const { route, service, version, config } = this._route(req)
-      const { signal, deadlineMs } = this._startTimeLimit(res, route, arrivedMs, metadata.deadlineMs)
+      const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
+      const { signal } = abort
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
@@ -106,17 +111,15 @@
     return { route, service, version: config.version, config }
   }
 
-  private _startTimeLimit (
-    res: ServerResponse, route: GatewayRoute, arrivedMs: number, callerDeadlineMs: number | undefined
-  ): { signal: AbortSignal, deadlineMs: number } {
-    const abort = new AbortController()
+  /** Aborts a request when its caller disconnects or its time is over. Returns the monotonic time of the latter, in milliseconds. */
+  private _startTimeLimit ({ res, arrivedMs, abort }: RunningRequest, route: GatewayRoute, callerDeadlineMs: number | undefined): number {
     const ms = Math.min(route.timeoutMs, callerDeadlineMs ?? route.timeoutMs)
     const timer = setTimeout(() => abort.abort(AbortReason.Timeout), ms)
     res.once('close', () => {
       clearTimeout(timer)
       if (!res.writableFinished) abort.abort(AbortReason.CallerGone)
     })
-    return { signal: abort.signal, deadlineMs: arrivedMs + ms }
+    return arrivedMs + ms
   }
 
   private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, err: unknown, arrivedMs: number): void {
@@ -142,8 +145,9 @@
   if (bytes > maxBytes) throw new RequestError(ErrorKind.HeaderTooLarge, `the header exceeds ${maxBytes} bytes`)
 }
 
-/** The caller did not send its body within the time limit, so the request has not run. */
+/** The body did not arrive before the request was aborted, so the request has not run. */
 function bodyTimeout (signal: AbortSignal): RequestError {
+  if (signal.reason === AbortReason.Stopped) return new RequestError(ErrorKind.Stopping, 'the host stopped before the body arrived', { retryAfterMs: 0 })
   if (signal.reason === AbortReason.CallerGone) return new RequestError(ErrorKind.CallerGone, 'the caller has disconnected')
   return new RequestError(ErrorKind.RequestTimeout, 'the body did not arrive in time')
 }
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -16,5 +16,8 @@
  */
 export const STOP_ACCEPT_MS = 3_000
 
-/** Time before the end of the grace period at which a stopping host closes its remaining connections, in milliseconds. */
+/** Time before the end of the grace period at which a stopping host gives up the requests in progress, in milliseconds. */
 export const STOP_MARGIN_MS = 400
+
+/** Time for which a stopping host then waits until these have got their responses, in milliseconds. */
+export const STOP_RESPONSE_MS = 150
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,4 +1,4 @@
-import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, sampleEndpoints, sampleSize } from '@jaymill/core'
+import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RanState, RequestError, sampleEndpoints, sampleSize } from '@jaymill/core'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import { AbortReason, type GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
@@ -147,6 +147,7 @@
 
   protected _abortError (request: GatewayRequest, mayHaveRun: boolean): RequestError {
     if (request.signal.reason === AbortReason.CallerGone) return new RequestError(ErrorKind.CallerGone, 'the caller has disconnected')
+    if (request.signal.reason === AbortReason.Stopped) return stoppedError(mayHaveRun)
     return mayHaveRun
       ? new RequestError(ErrorKind.Deadline, 'no answer in time')
       : new RequestError(ErrorKind.Overloaded, 'no endpoint had free capacity in time', { retryAfterMs: 0 })
@@ -156,3 +157,9 @@
     return Math.round(this._context.clock.nowMs() - arrivedMs)
   }
 }
+
+function stoppedError (mayHaveRun: boolean): RequestError {
+  return mayHaveRun
+    ? new RequestError(ErrorKind.Deadline, 'the host stopped before an answer arrived', { ran: RanState.Unknown })
+    : new RequestError(ErrorKind.Stopping, 'the host stopped before the request ran', { retryAfterMs: 0 })
+}
