Log crashes of endpoints with the parts of the prompts that were starting there

Cause: when a stream breaks off, the log shows neither whether its endpoint has crashed nor what the prompts have in common, so that a part that crashes engines cannot be told from an endpoint that fails. Change: the adapter decodes the ids of the shared parts of a prompt. When a response breaks off, a host checks once whether the endpoint still accepts connections; if not, it logs the crash, whether the run was starting (no event, or its first one less than 200 ms ago) and the parts. No decision changes.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -13,6 +13,7 @@
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
 import { FleetState } from './fleet/JaymillFleetState.js'
+import { CrashDetector } from './forwarding/JaymillCrashDetector.js'
 import type { Forwarder } from './forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from './forwarding/JaymillForwardingContext.js'
 import { PlainForwarder } from './forwarding/JaymillPlainForwarder.js'
@@ -160,6 +161,7 @@
       directPrefills,
       demand,
       roleChanges,
+      crashes: new CrashDetector({ clock, log }, () => {}),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -9,6 +9,7 @@
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_DURATION_TARGETS } from './constants.js'
 import { Forwarder } from './JaymillForwarder.js'
+import { runKeysOf } from './JaymillRequestKeys.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
 /** Result of one call to an endpoint. */
@@ -100,6 +101,7 @@
     if (!(err instanceof ExchangeError)) throw err
     const connectFailed = err.failure === ExchangeFailure.Connect
     if (!request.signal.aborted) this._recordOutcome(endpoint, connectFailed ? CallOutcome.Unreachable : CallOutcome.Failure)
+    if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff({ endpoint, keys: runKeysOf(request) })
     return { endpoint, verdict: err.ran === RanState.No ? ResponseVerdict.NotRun : ResponseVerdict.Unusable }
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -16,6 +16,7 @@
   PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
+import type { TrackedRun } from './JaymillCrashDetector.js'
 import { EngineReservations } from './JaymillEngineReservations.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
@@ -23,6 +24,7 @@
 import { PromptEstimates } from './JaymillPromptEstimates.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
+import { runKeysOf } from './JaymillRequestKeys.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
@@ -250,6 +252,8 @@
     const queuedTokens = this._context.directPrefills.at(endpoint.id).tokens
     if (prompt === undefined) this._context.directPrefills.add(endpoint.id, promptTokensOf(request), directPrefill.signal)
     const startMs = clock.nowMs()
+    const run: TrackedRun = { endpoint, keys: runKeysOf(request) }
+    progress.run = run
     const finish = (verdict: ResponseVerdict, reason?: string): void => {
       limit.cancelTimeout()
       directPrefill.abort()
@@ -269,6 +273,7 @@
       finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
       this._reservations.release(request, reservation, prompt)
       if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
+      if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff(run)
       if (!notRun) progress.runs += 1
       progress.avoidedIds.add(endpoint.id)
       return undefined
@@ -310,6 +315,7 @@
     const startMs = clock.nowMs()
     const idleTimeoutMs = request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined
     const end = await progress.relay.forward(response, idleTimeoutMs, () => {
+      if (progress.run !== undefined) progress.run.firstEventMs = clock.nowMs()
       metrics.recordFirstEvent(this._elapsedMs(request))
       log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
     })
@@ -328,6 +334,7 @@
     }
     if (end === RelayOutcome.Broken) {
       this._recordOutcome(endpoint, CallOutcome.Failure)
+      if (progress.run !== undefined) this._context.crashes.brokeOff(progress.run)
       progress.avoidedIds.add(endpoint.id)
       return true
     }
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -2,10 +2,12 @@
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { abortResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
-import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
+import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_IDLE_TIMEOUT_MS } from './constants.js'
+import type { TrackedRun } from './JaymillCrashDetector.js'
 import { Forwarder } from './JaymillForwarder.js'
+import { runKeysOf } from './JaymillRequestKeys.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
@@ -42,24 +44,31 @@
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { relay }: StreamProgress): Promise<{ end: RelayOutcome, ran: boolean }> {
     const { calls, dialect, log, metrics } = this._context
     const metadata = relay.lastEventId === undefined ? {} : { lastEventId: relay.lastEventId }
+    const run: TrackedRun = { endpoint, keys: runKeysOf(request) }
     try {
       const response = await calls.open(this._call(request, endpoint, metadata), request.signal)
       const verdict = classifyResponse(dialect, request.id, response.status, response.headers)
       log.request(request.id, 'attempt ended', { endpoint: endpoint.id, verdict, status: response.status, ms: this._elapsedMs(request) })
       this._recordOutcome(endpoint, verdict === ResponseVerdict.Success ? CallOutcome.Success : CallOutcome.Failure)
-      if (verdict === ResponseVerdict.Success) return { end: await this._relayStream(request, relay, response), ran: true }
+      if (verdict === ResponseVerdict.Success) return { end: await this._relayStream(request, relay, response, run), ran: true }
       response.body.destroy()
       return { end: RelayOutcome.Broken, ran: verdict !== ResponseVerdict.NotRun }
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err
       metrics.recordCall('stream', err.failure)
       if (!request.signal.aborted) this._recordOutcome(endpoint, CallOutcome.Unreachable)
+      if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff(run)
       return { end: RelayOutcome.Broken, ran: err.ran !== RanState.No }
     }
   }
 
-  private async _relayStream (request: GatewayRequest, relay: StreamRelay, response: StreamedResponse): Promise<RelayOutcome> {
-    const end = await relay.forward(response, request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined, () => this._context.metrics.recordFirstEvent(this._elapsedMs(request)))
+  private async _relayStream (request: GatewayRequest, relay: StreamRelay, response: StreamedResponse, run: TrackedRun): Promise<RelayOutcome> {
+    const { metrics, clock, crashes } = this._context
+    const end = await relay.forward(response, request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined, () => {
+      metrics.recordFirstEvent(this._elapsedMs(request))
+      run.firstEventMs = clock.nowMs()
+    })
+    if (end === RelayOutcome.Broken) crashes.brokeOff(run)
     this._context.log.request(request.id, 'stream ended', { end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
     return end
   }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -75,3 +75,9 @@
 
 /** Assumed duration of a stream of a plain service, in milliseconds. */
 export const PLAIN_STREAM_MS = 4_000
+
+/** Time after its first event for which a run may still be the cause of a crash of its endpoint, in milliseconds. */
+export const RUN_START_MS = 200
+
+/** Maximum number of parts of a prompt in a log line. */
+export const MAX_LOGGED_PARTS = 8
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -8,6 +8,8 @@
   readonly maxOutputTokens: number
   /** Caller's estimate of the output tokens, which may be far off; equal to the maximum when the caller gives none. */
   readonly expectedOutputTokens: number
+  /** Ids of the parts of the prompt that other requests may share, in their order; without the last part, which is the request's own. */
+  readonly sharedParts: readonly string[]
 }
 
 /** Metadata from the headers of a caller's request. */
