Decide which requests and prompt parts crash engines

Cause: a part of a prompt may crash each engine that begins a response to it. Requests with it are never alike, so counting crashes per request does not find it, and hosts see only their own runs. Change: CrashQuarantine in core/gateway, a decision without I/O. Hosts share crashes with the keys that were starting there, and proofs that keys are sound; the quarantine follows from that evidence alone, so a host that blamed the wrong part corrects itself when it learns what ran beside it. A report therefore carries explained crashes too, after the others, and each quarantined key with up to three crashes that show it. Nothing uses it yet. Conclusion: ready to be wired into the gateway.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -185,3 +185,63 @@
 
 /** Time for which an engine is not probed after a refusal, per engine of the pool, in milliseconds. */
 export const REFUSAL_BACKOFF_PER_ENGINE_MS = 20
+
+/** Time after which the crash of an endpoint no longer counts against requests, in milliseconds: its cause may be gone by then. */
+export const QUARANTINE_TTL_MS = 600_000
+
+/** Time after a proof in which crashes do not count against the proven key, in milliseconds; engines and models may change later. */
+export const SOUND_TTL_MS = 600_000
+
+/** Age up to which hosts report crashes, in milliseconds: less than the TTL, so that no peer revives those that have expired. */
+export const CRASH_REPORT_MAX_AGE_MS = 540_000
+
+/** Age of a proof that no longer clears any crash, in milliseconds: the proof's TTL and that of the last crash within it. */
+export const MAX_PROOF_AGE_MS = SOUND_TTL_MS + QUARANTINE_TTL_MS
+
+/** Longest time between crashes with a common cause outside the engines, such as a rack failure, in milliseconds. */
+export const SAME_INCIDENT_MS = 250
+
+/** Incidents after which a request is quarantined: one alone would implicate all requests at the endpoint. */
+export const REQUEST_QUARANTINE_INCIDENTS = 2
+
+/** Incidents after which a part is quarantined even if the same request carried it each time. */
+export const PART_QUARANTINE_INCIDENTS = 3
+
+/** Incidents after which a part is quarantined if different requests carried it: they have fewer other keys in common. */
+export const PART_QUARANTINE_INCIDENTS_OF_DIFFERENT_REQUESTS = 2
+
+/** Maximum number of crashes that a host keeps; limits memory and the time of a decision. */
+export const MAX_STORED_CRASHES = 64
+
+/** Maximum number of runs kept of one crash; more than usually start at one endpoint at the same time. */
+export const MAX_STORED_RUNS = 32
+
+/** Maximum number of prompt parts kept of one run; the deepest are the most specific. */
+export const MAX_STORED_PARTS = 32
+
+/** Maximum number of parts, and of requests, that are remembered as proven sound; limits memory. */
+export const MAX_SOUND_KEYS = 4_096
+
+/** Maximum number of crashes in a report; keeps the report within a datagram. */
+export const MAX_REPORTED_CRASHES = 8
+
+/** Maximum number of runs of a crash in a report; keeps the report within a datagram. */
+export const MAX_REPORTED_RUNS = 8
+
+/** Maximum number of prompt parts of a run in a report; keeps the report within a datagram. */
+export const MAX_REPORTED_PARTS = 6
+
+/** Maximum number of quarantined keys in a report; keeps the report within a datagram. */
+export const MAX_REPORTED_QUARANTINED = 16
+
+/** Maximum number of crashes reported for a quarantined key: as many as any host needs to quarantine it. */
+export const MAX_REPORTED_WITNESSES = 3
+
+/** Maximum number of proven keys in a report; keeps the report within a datagram. */
+export const MAX_REPORTED_SOUND = 16
+
+/** Maximum length of a crash identifier or key from a peer, in UTF-16 code units; limits memory. */
+export const MAX_REPORTED_KEY_LENGTH = 256
+
+/** Largest accepted position of a part in a prompt from a peer; larger ones are malformed. */
+export const MAX_REPORTED_DEPTH = 65_535
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,4 +1,6 @@
 export * from './JaymillCapacityProbeLimiter.js'
+export * from './JaymillCrashQuarantine.js'
+export * from './JaymillCrashReport.js'
 export * from './JaymillDelayEstimate.js'
 export * from './JaymillEndpointDirectory.js'
 export * from './JaymillEndpointLatencyModel.js'
