Quarantine requests and parts of prompts that crash endpoints

Cause: the gateway related a crash to nothing. It knew no parts of prompts, took a broken stream for a failure of the endpoint, resumed the request at the next engine, and accepted the next request with the same part. Hosts could not tell each other either. Ruled out: blaming all requests of a crashed engine. Change: CrashGuard reports crashes with the runs that were starting, and completed runs as proof, to CrashQuarantine; it refuses what is quarantined before a request runs (503) and instead of a retry (502). The evidence travels with the messages between hosts, in a position that hosts of earlier versions ignore, at once when it changes. JaymillHostHeartbeats: 40 hosts know the part within a second of the second crash.

--- a/packages/core/src/errors/JaymillError.ts
+++ b/packages/core/src/errors/JaymillError.ts
@@ -31,6 +31,7 @@
   KeyRefused = 'key-refused',
   KeyConflict = 'key-conflict',
   Quarantined = 'quarantined',
+  CrashSuspect = 'crash-suspect',
   PeerFailed = 'peer-failed',
   ConfigSource = 'platform',
   Config = 'config',
--- a/packages/core/src/errors/JaymillRequestError.ts
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -26,6 +26,7 @@
   [ErrorKind.KeyRefused]: 400,
   [ErrorKind.KeyConflict]: 422,
   [ErrorKind.Quarantined]: 422,
+  [ErrorKind.CrashSuspect]: 503,
   [ErrorKind.PeerFailed]: 502,
   [ErrorKind.ConfigSource]: 503,
   [ErrorKind.Config]: 409,
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  Clock, DirectoryEvent, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
+  Clock, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
   PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
@@ -13,7 +13,7 @@
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
 import { FleetState } from './fleet/JaymillFleetState.js'
-import { CrashDetector } from './forwarding/JaymillCrashDetector.js'
+import { CrashGuard } from './forwarding/JaymillCrashGuard.js'
 import type { Forwarder } from './forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from './forwarding/JaymillForwardingContext.js'
 import { PlainForwarder } from './forwarding/JaymillPlainForwarder.js'
@@ -24,6 +24,7 @@
 import { GatewayMetrics } from './metrics/JaymillGatewayMetrics.js'
 import { DocumentExchange } from './peers/JaymillDocumentExchange.js'
 import { HostHeartbeats } from './peers/JaymillHostHeartbeats.js'
+import type { WorkState } from './peers/JaymillZoneRelay.js'
 import type { EngineControl } from './ports/JaymillEngineControl.js'
 import type { FleetSource } from './ports/JaymillFleetSource.js'
 import type { WireDialect } from './ports/JaymillWireDialect.js'
@@ -76,10 +77,8 @@
     this._settings = settings
     this._adapters = adapters
     const { clock, random, log, source } = adapters
-    const load = new EndpointLoad()
-    const directPrefills = new EndpointLoad()
-    const demand = new PromptDemand()
-    const roleChanges = new PendingRoleChanges()
+    const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
+    const quarantine = new CrashQuarantine()
     this._state = new FleetState(clock, log)
     const { host: { id, zone, address }, listen } = settings
     const shouldFollow = (): boolean => new PerZoneReaderSelection().shouldRead({ address, zone, connected: this._follower.connected }, this._heartbeats.readers)
@@ -87,8 +86,8 @@
     const hasSeeds = seeds.length > 0 && !seeds.includes(address)
     this._follower = new FleetFollower({ source, state: this._state, hasSeeds, shouldFollow, clock, random, log })
     const connected = (): boolean => this._follower.connected
-    this._heartbeats = new HostHeartbeats({ address, zone, listen: listen.beacon, seeds, state: this._state, work: { load, directPrefills, demand, roleChanges }, connected, clock, log })
-    this._forwardingContext = this._createForwardingContext(load, directPrefills, demand, roleChanges)
+    this._heartbeats = new HostHeartbeats({ address, zone, listen: listen.beacon, seeds, state: this._state, work, quarantine, onEvidence: () => this._forwardingContext.crashes.evidenceChanged(), connected, clock, log })
+    this._forwardingContext = this._createForwardingContext(work, quarantine)
     this._roleController = new RoleController({ ...this._forwardingContext, hostId: id, isLeader: () => this._heartbeats.isLeader })
     this._ingress = new Ingress(this._forwardingContext, this._forwarderSelector())
   }
@@ -144,7 +143,7 @@
     this._abort.abort()
   }
 
-  private _createForwardingContext (load: EndpointLoad, directPrefills: EndpointLoad, demand: PromptDemand, roleChanges: PendingRoleChanges): ForwardingContext {
+  private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     return {
@@ -161,7 +160,7 @@
       directPrefills,
       demand,
       roleChanges,
-      crashes: new CrashDetector({ clock, log }, () => {}),
+      crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, share: () => this._heartbeats.evidenceAdded() }),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
@@ -214,7 +213,8 @@
       running: () => this._ingress.running,
       ready: () => this._phase === Phase.Ready,
       configVersion: () => this._state.version,
-      hosts: () => this._heartbeats.livePeers.length + 1
+      hosts: () => this._heartbeats.livePeers.length + 1,
+      quarantined: () => this._forwardingContext.crashes.quarantinedCount
     })
   }
 
--- a/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Writable } from 'node:stream'
 import { afterEach, expect, test, vi } from 'vitest'
-import { Clock, EndpointLoad, PendingRoleChanges, PromptDemand, type EndpointRecord, type GatewayConfig } from '@jaymill/core'
+import { CrashQuarantine, Clock, EndpointLoad, PendingRoleChanges, PromptDemand, type EndpointRecord, type GatewayConfig } from '@jaymill/core'
 import { FleetState, Origin } from '../../fleet/JaymillFleetState.js'
 import { GatewayLog } from '../../logging/JaymillGatewayLog.js'
 import { HostHeartbeats } from '../../peers/JaymillHostHeartbeats.js'
@@ -28,6 +28,7 @@
   readonly load: EndpointLoad
   readonly state: FleetState
   readonly heartbeats: HostHeartbeats
+  readonly quarantine: CrashQuarantine
   readonly abort: AbortController
 }
 
@@ -49,12 +50,13 @@
   state.applySnapshot({ config: CONFIG, endpoints: [], revision: 1 }, Origin.Source)
   const zone = ZONES[i % ZONES.length] ?? ''
   const abort = new AbortController()
+  const quarantine = new CrashQuarantine()
   const heartbeats = new HostHeartbeats({
-    address: addressOf(i), zone, listen: { address: addressOf(i), port: PORT }, seeds: [0, 1, 2].map(addressOf), state, work, connected: () => connected, clock, log
+    address: addressOf(i), zone, listen: { address: addressOf(i), port: PORT }, seeds: [0, 1, 2].map(addressOf), state, work, quarantine, onEvidence: () => {}, connected: () => connected, clock, log
   })
   state.onUpdate(origin => heartbeats.stateUpdated(origin), abort.signal)
   await heartbeats.start(abort.signal)
-  return { address: addressOf(i), zone, load: work.load, state, heartbeats, abort }
+  return { address: addressOf(i), zone, load: work.load, state, heartbeats, quarantine, abort }
 }
 
 async function startFleet (hosts: number): Promise<void> {
@@ -122,3 +124,19 @@
   fleet[5]?.heartbeats.scheduleSend()
   expect(await untilAll(({ load }) => load.at('e').tokens === 700, 1_000)).toBeLessThan(500)
 }, 20_000)
+
+// Guards against crashes that each host of a large fleet sees one of, and that none of them relates to each other.
+test('each of 40 hosts knows within a second which part of a prompt has crashed endpoints that different hosts had chosen', async () => {
+  await startFleet(40)
+  await untilAll(({ heartbeats }) => heartbeats.livePeers.length === fleet.length - 1, 8_000)
+  const now = (): number => performance.now()
+  const [first, second] = [fleet[11], fleet[28]]
+  first?.quarantine.recordCrash({ id: 'e1@1', runs: [{ request: 'r1', parts: ['shared', 'deadly'] }] }, now())
+  first?.heartbeats.evidenceAdded()
+  await sleep(300)
+  second?.quarantine.recordCrash({ id: 'e2@1', runs: [{ request: 'r2', parts: ['shared', 'deadly'] }, { request: 'r3', parts: ['shared', 'other'] }] }, now())
+  second?.heartbeats.evidenceAdded()
+  const knows = ({ quarantine }: FleetHost): boolean => quarantine.quarantined({ request: 'r4', parts: ['shared', 'deadly'] }, now()) === 'deadly'
+  expect(await untilAll(knows, 5_000)).toBeLessThan(1_000)
+  expect(fleet.every(({ quarantine }) => quarantine.quarantined({ request: 'r5', parts: ['shared', 'other'] }, now()) === undefined)).toBe(true)
+}, 30_000)
--- a/packages/gateway/src/callers/JaymillGatewayRequest.ts
+++ b/packages/gateway/src/callers/JaymillGatewayRequest.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { GatewayRoute, GatewayService } from '@jaymill/core'
+import type { GatewayRoute, GatewayService, RunKeys } from '@jaymill/core'
 import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
 
 /** Why a request was aborted before its response was complete. */
@@ -18,6 +18,8 @@
   readonly route: GatewayRoute
   readonly service: GatewayService
   readonly metadata: RequestMetadata
+  /** Keys by which crashes of endpoints are attributed to the request or to parts of its prompt. */
+  readonly keys: RunKeys
   /** Version of the configuration that applies to the request. */
   readonly version: number
   readonly body: Buffer | null
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -8,6 +8,7 @@
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { listenOn } from './JaymillListener.js'
+import { runKeysOf } from './JaymillRequestKeys.js'
 
 /** Selects the forwarder for a request. */
 export type ForwarderSelector = (request: GatewayRequest) => Forwarder
@@ -89,7 +90,7 @@
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
-      const request = { id, req, res, route, service, metadata, version, body, arrivedMs, deadlineMs, signal }
+      const request = { id, req, res, route, service, metadata, keys: runKeysOf(req, body, metadata), version, body, arrivedMs, deadlineMs, signal }
       const forwarder = this._selectForwarder(request)
       forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
--- a/packages/gateway/src/forwarding/JaymillCrashDetector.ts
+++ b/packages/gateway/src/forwarding/JaymillCrashDetector.ts
@@ -2,6 +2,7 @@
 import { isReachable } from '../endpoints/JaymillReachability.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import { MAX_LOGGED_PARTS, RUN_START_MS } from './constants.js'
+import type { TrackedRun } from './JaymillCrashGuard.js'
 
 /** Crash of an endpoint, with the runs that were starting there. */
 export interface DetectedCrash {
@@ -10,14 +11,6 @@
   readonly runs: readonly RunKeys[]
 }
 
-/** One run of a request at an endpoint. */
-export interface TrackedRun {
-  readonly endpoint: EndpointRecord
-  readonly keys: RunKeys
-  /** Monotonic time of the first event of its response, in milliseconds; absent before. */
-  firstEventMs?: number
-}
-
 /**
  * Detects endpoints that have crashed: a response broke off, and the endpoint accepts no connection. A request that crashes
  * its endpoint does so when its response begins, so only the runs that were starting are reported with the crash.
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillCrashGuard.ts
@@ -0,0 +1,149 @@
+import { ErrorKind, RanState, RequestError, type Clock, type CrashQuarantine, type EndpointRecord, type RunKeys } from '@jaymill/core'
+import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
+import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
+import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
+import { QUARANTINE_RETRY_AFTER_MS, SOUND_RUN_MS } from './constants.js'
+import { CrashDetector, type DetectedCrash } from './JaymillCrashDetector.js'
+
+/** One run of a request at an endpoint. */
+export interface TrackedRun {
+  readonly endpoint: EndpointRecord
+  readonly keys: RunKeys
+  /** Monotonic time of the first event of its response, in milliseconds; absent before. */
+  firstEventMs?: number
+  /** Fires when the response has lasted long enough to prove the request sound. */
+  soundTimer?: NodeJS.Timeout
+}
+
+/** Dependencies of the guard. */
+export interface CrashGuardContext {
+  readonly clock: Clock
+  readonly log: GatewayLog
+  readonly metrics: GatewayMetrics
+  readonly quarantine: CrashQuarantine
+  /** Tells the other hosts about new evidence of this host. */
+  readonly share: () => void
+}
+
+/** Protects endpoints from requests that crash them: tracks runs, learns from crashes, and refuses what is quarantined. */
+export class CrashGuard {
+  private readonly _context: CrashGuardContext
+  private readonly _detector: CrashDetector
+  private _quarantinedKeys: ReadonlySet<string> = new Set()
+
+  /**
+   * @param context - Dependencies.
+   */
+  constructor (context: CrashGuardContext) {
+    this._context = context
+    this._detector = new CrashDetector(context, crash => this._recordCrash(crash))
+  }
+
+  /** Number of requests and parts of prompts that this host knows to be quarantined. */
+  get quarantinedCount (): number {
+    return this._quarantinedKeys.size
+  }
+
+  /**
+   * @param request - A request.
+   * @returns Whether it is quarantined, or a part of its prompt is.
+   */
+  isQuarantined ({ keys }: GatewayRequest): boolean {
+    const { quarantine, clock } = this._context
+    return quarantine.quarantined(keys, clock.nowMs()) !== undefined
+  }
+
+  /**
+   * Refuses a request that is quarantined.
+   *
+   * @param request - The request.
+   * @param mayHaveRun - Whether an endpoint may have run it already.
+   * @throws RequestError of kind `CrashSuspect`, or `EndpointFailed` when it may have run.
+   */
+  check ({ id, keys }: GatewayRequest, mayHaveRun: boolean): void {
+    const { quarantine, clock, log } = this._context
+    const key = quarantine.quarantined(keys, clock.nowMs())
+    if (key === undefined) return
+    log.request(id, 'quarantined', { key, mayHaveRun })
+    const message = `endpoints crashed when they began to respond to requests with ${key}`
+    throw mayHaveRun
+      ? new RequestError(ErrorKind.EndpointFailed, message, { ran: RanState.Unknown })
+      : new RequestError(ErrorKind.CrashSuspect, message, { retryAfterMs: QUARANTINE_RETRY_AFTER_MS })
+  }
+
+  /**
+   * Starts to track a run.
+   *
+   * @param request - The request.
+   * @param endpoint - Endpoint that it is sent to.
+   * @returns The run.
+   */
+  track ({ keys }: GatewayRequest, endpoint: EndpointRecord): TrackedRun {
+    return { endpoint, keys }
+  }
+
+  /**
+   * Records the first event of a run.
+   *
+   * @param run - The run.
+   */
+  firstEvent (run: TrackedRun): void {
+    run.firstEventMs = this._context.clock.nowMs()
+    run.soundTimer = setTimeout(() => this._recordSound(run), SOUND_RUN_MS)
+  }
+
+  /**
+   * Records that the endpoint has responded to a run completely.
+   *
+   * @param run - The run.
+   */
+  completed (run: TrackedRun): void {
+    clearTimeout(run.soundTimer)
+    this._recordSound(run)
+  }
+
+  /**
+   * Records that the response to a run broke off.
+   *
+   * @param run - The run.
+   */
+  brokeOff (run: TrackedRun): void {
+    clearTimeout(run.soundTimer)
+    this._detector.brokeOff(run)
+  }
+
+  /**
+   * Records that a run has ended for a reason that says nothing about its endpoint.
+   *
+   * @param run - The run.
+   */
+  ended (run: TrackedRun): void {
+    clearTimeout(run.soundTimer)
+  }
+
+  /** Logs what the evidence of this and other hosts has changed. */
+  evidenceChanged (): void {
+    const { quarantine, clock, log } = this._context
+    const before = this._quarantinedKeys
+    this._quarantinedKeys = new Set(quarantine.report(clock.nowMs()).quarantined.map(([key]) => key))
+    ;[...this._quarantinedKeys].filter(key => !before.has(key)).forEach(key => log.stateChange('quarantine started', { key }))
+    ;[...before].filter(key => !this._quarantinedKeys.has(key)).forEach(key => log.stateChange('quarantine ended', { key }))
+  }
+
+  private _recordCrash (crash: DetectedCrash): void {
+    const { quarantine, clock, metrics } = this._context
+    if (!quarantine.recordCrash(crash, clock.nowMs())) return
+    metrics.recordCall('run', 'crashed')
+    this._newEvidence()
+  }
+
+  private _recordSound ({ keys }: TrackedRun): void {
+    const { quarantine, clock } = this._context
+    if (quarantine.recordSound(keys, clock.nowMs())) this._newEvidence()
+  }
+
+  private _newEvidence (): void {
+    this.evidenceChanged()
+    this._context.share()
+  }
+}
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -6,7 +6,7 @@
 import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
 import type { EngineControl } from '../ports/JaymillEngineControl.js'
 import type { WireDialect } from '../ports/JaymillWireDialect.js'
-import type { CrashDetector } from './JaymillCrashDetector.js'
+import type { CrashGuard } from './JaymillCrashGuard.js'
 
 /** Components of the host that forwarders use. */
 export interface ForwardingContext {
@@ -27,7 +27,7 @@
   readonly budget: FleetRetryBudget
   readonly demand: PromptDemand
   readonly roleChanges: PendingRoleChanges
-  readonly crashes: CrashDetector
+  readonly crashes: CrashGuard
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
   /** Planned stop of this host; `undefined` unless it is shutting down. */
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -9,7 +9,6 @@
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_DURATION_TARGETS } from './constants.js'
 import { Forwarder } from './JaymillForwarder.js'
-import { runKeysOf } from './JaymillRequestKeys.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
 /** Result of one call to an endpoint. */
@@ -39,6 +38,7 @@
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
+    this._context.crashes.check(request, false)
     this._context.budget.countRequest(request.service.name, this._context.clock.nowMs())
     await this._tryNext(request, { tried: [] })
   }
@@ -59,7 +59,7 @@
     const runs = tried.filter(({ verdict }) => verdict !== ResponseVerdict.NotRun).length
     if (runs > 0 && !isIdempotent(request.route)) return false
     if (runs >= request.route.maxAttempts || tried.length >= MAX_TRIED_ENDPOINTS) return false
-    return tried.length === 0 || this._spendRetry(request)
+    return tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request))
   }
 
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { tried }: Progress): Promise<Attempt> {
@@ -94,6 +94,7 @@
     const verdict = classifyResponse(this._context.dialect, request.id, response.status, response.headers)
     this._recordOutcome(endpoint, verdict === ResponseVerdict.Success ? CallOutcome.Success : CallOutcome.Failure)
     if (verdict === ResponseVerdict.Unusable) this._context.calls.closeConnections(endpoint)
+    if (verdict === ResponseVerdict.Success) this._context.crashes.completed(this._context.crashes.track(request, endpoint))
     return { endpoint, verdict, response }
   }
 
@@ -101,7 +102,7 @@
     if (!(err instanceof ExchangeError)) throw err
     const connectFailed = err.failure === ExchangeFailure.Connect
     if (!request.signal.aborted) this._recordOutcome(endpoint, connectFailed ? CallOutcome.Unreachable : CallOutcome.Failure)
-    if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff({ endpoint, keys: runKeysOf(request) })
+    if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff(this._context.crashes.track(request, endpoint))
     return { endpoint, verdict: err.ran === RanState.No ? ResponseVerdict.NotRun : ResponseVerdict.Unusable }
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -16,7 +16,7 @@
   PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
-import type { TrackedRun } from './JaymillCrashDetector.js'
+import type { TrackedRun } from './JaymillCrashGuard.js'
 import { EngineReservations } from './JaymillEngineReservations.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
@@ -24,7 +24,6 @@
 import { PromptEstimates } from './JaymillPromptEstimates.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
-import { runKeysOf } from './JaymillRequestKeys.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
@@ -60,9 +59,10 @@
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (original: GatewayRequest): Promise<void> {
-    const { budget, demand, clock } = this._context
+    const { budget, demand, clock, crashes } = this._context
     const request = this._estimates.withExpectedOutput(original)
     const hintTokens = original.metadata.prompt?.expectedOutputTokens ?? 0
+    crashes.check(request, false)
     budget.countRequest(request.service.name, clock.nowMs())
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
     await this._round(request, { relay: new StreamRelay(request), hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
@@ -175,16 +175,21 @@
       return true
     }
     this._checkStage(request, progress, () => this._estimates.decodeMs(request), () => this._reservations.release(request, reservation, prompt))
-    const response = await this._openDecode(request, progress, reservation, prompt)
+    const run = this._context.crashes.track(request, reservation.endpoint)
+    const response = await this._openDecode(request, progress, reservation, prompt, run)
     if (response === undefined) return true
-    return await this._relayStream(request, progress, reservation.endpoint, response)
+    return await this._relayStream(request, progress, run, response)
   }
 
-  /** Refuses a request that has not run and would no longer end before this host stops, and releases what it holds. */
+  /**
+   * Refuses a request that is quarantined by now, or that has not run and would no longer end before this host stops. Releases
+   * what it holds.
+   */
   private _checkStage (request: GatewayRequest, { runs, relay }: PromptProgress, durationMs: () => number, release: () => void): void {
-    if (runs > 0 || relay.started) return
+    const mayHaveRun = runs > 0 || relay.started
     try {
-      this.checkEndsBeforeStop(request, durationMs)
+      this._context.crashes.check(request, mayHaveRun)
+      if (!mayHaveRun) this.checkEndsBeforeStop(request, durationMs)
     } catch (err) {
       release()
       throw err
@@ -240,9 +245,9 @@
   }
 
   private async _openDecode (
-    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: PrefilledPrompt | undefined
+    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: PrefilledPrompt | undefined, run: TrackedRun
   ): Promise<StreamedResponse | undefined> {
-    const { calls, dialect, log, clock } = this._context
+    const { calls, dialect, log, clock, crashes } = this._context
     const { endpoint } = reservation
     const resumption = progress.relay.lastEventId === undefined ? {} : { lastEventId: progress.relay.lastEventId }
     const metadata = { reservationId: reservation.id, ...resumption, ...(prompt === undefined ? {} : { kvSource: prompt }) }
@@ -252,8 +257,6 @@
     const queuedTokens = this._context.directPrefills.at(endpoint.id).tokens
     if (prompt === undefined) this._context.directPrefills.add(endpoint.id, promptTokensOf(request), directPrefill.signal)
     const startMs = clock.nowMs()
-    const run: TrackedRun = { endpoint, keys: runKeysOf(request) }
-    progress.run = run
     const finish = (verdict: ResponseVerdict, reason?: string): void => {
       limit.cancelTimeout()
       directPrefill.abort()
@@ -273,7 +276,7 @@
       finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
       this._reservations.release(request, reservation, prompt)
       if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
-      if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff(run)
+      if (err.failure === ExchangeFailure.Broken) crashes.brokeOff(run)
       if (!notRun) progress.runs += 1
       progress.avoidedIds.add(endpoint.id)
       return undefined
@@ -310,12 +313,13 @@
   }
 
   /** Relays the stream to the caller. Returns whether it must be resumed at another engine. */
-  private async _relayStream (request: GatewayRequest, progress: PromptProgress, endpoint: EndpointRecord, response: StreamedResponse): Promise<boolean> {
-    const { log, metrics, clock } = this._context
+  private async _relayStream (request: GatewayRequest, progress: PromptProgress, run: TrackedRun, response: StreamedResponse): Promise<boolean> {
+    const { log, metrics, clock, crashes } = this._context
+    const { endpoint } = run
     const startMs = clock.nowMs()
     const idleTimeoutMs = request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined
     const end = await progress.relay.forward(response, idleTimeoutMs, () => {
-      if (progress.run !== undefined) progress.run.firstEventMs = clock.nowMs()
+      crashes.firstEvent(run)
       metrics.recordFirstEvent(this._elapsedMs(request))
       log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
     })
@@ -331,14 +335,18 @@
     if (end === RelayOutcome.Complete) {
       metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
       this._estimates.recordCompleted(request, progress.hintTokens, progress.relay.bytes, clock.nowMs() - startMs)
+      crashes.completed(run)
     }
     if (end === RelayOutcome.Broken) {
       this._recordOutcome(endpoint, CallOutcome.Failure)
-      if (progress.run !== undefined) this._context.crashes.brokeOff(progress.run)
+      crashes.brokeOff(run)
       progress.avoidedIds.add(endpoint.id)
       return true
     }
-    if (end === RelayOutcome.Aborted) abortResponse(request.res)
+    if (end === RelayOutcome.Aborted) {
+      crashes.ended(run)
+      abortResponse(request.res)
+    }
     return false
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptProgress.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptProgress.ts
@@ -1,6 +1,5 @@
 import type { EndpointRecord } from '@jaymill/core'
 import type { KvSource } from '../ports/JaymillWireDialect.js'
-import type { TrackedRun } from './JaymillCrashDetector.js'
 import type { StreamRelay } from './JaymillStreamRelay.js'
 
 /** KV cache of a prefilled prompt and the engine that holds it. */
@@ -13,8 +12,6 @@
   readonly relay: StreamRelay
   /** Caller's estimate of the output length, in tokens. */
   readonly hintTokens: number
-  /** Current or last run at a decode engine. */
-  run?: TrackedRun
   /** Calls that may have run the request. */
   runs: number
   /** Rounds of reservation, prefill and decode. */
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -5,9 +5,8 @@
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_IDLE_TIMEOUT_MS } from './constants.js'
-import type { TrackedRun } from './JaymillCrashDetector.js'
+import type { TrackedRun } from './JaymillCrashGuard.js'
 import { Forwarder } from './JaymillForwarder.js'
-import { runKeysOf } from './JaymillRequestKeys.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
@@ -26,6 +25,7 @@
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
+    this._context.crashes.check(request, false)
     this._context.budget.countRequest(request.service.name, this._context.clock.nowMs())
     await this._tryNext(request, { relay: new StreamRelay(request), tried: [], runs: 0 })
   }
@@ -42,9 +42,9 @@
   }
 
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { relay }: StreamProgress): Promise<{ end: RelayOutcome, ran: boolean }> {
-    const { calls, dialect, log, metrics } = this._context
+    const { calls, dialect, log, metrics, crashes } = this._context
     const metadata = relay.lastEventId === undefined ? {} : { lastEventId: relay.lastEventId }
-    const run: TrackedRun = { endpoint, keys: runKeysOf(request) }
+    const run = crashes.track(request, endpoint)
     try {
       const response = await calls.open(this._call(request, endpoint, metadata), request.signal)
       const verdict = classifyResponse(dialect, request.id, response.status, response.headers)
@@ -57,18 +57,20 @@
       if (!(err instanceof ExchangeError)) throw err
       metrics.recordCall('stream', err.failure)
       if (!request.signal.aborted) this._recordOutcome(endpoint, CallOutcome.Unreachable)
-      if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff(run)
+      if (err.failure === ExchangeFailure.Broken) crashes.brokeOff(run)
       return { end: RelayOutcome.Broken, ran: err.ran !== RanState.No }
     }
   }
 
   private async _relayStream (request: GatewayRequest, relay: StreamRelay, response: StreamedResponse, run: TrackedRun): Promise<RelayOutcome> {
-    const { metrics, clock, crashes } = this._context
+    const { metrics, crashes } = this._context
     const end = await relay.forward(response, request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined, () => {
       metrics.recordFirstEvent(this._elapsedMs(request))
-      run.firstEventMs = clock.nowMs()
+      crashes.firstEvent(run)
     })
     if (end === RelayOutcome.Broken) crashes.brokeOff(run)
+    if (end === RelayOutcome.Complete) crashes.completed(run)
+    if (end === RelayOutcome.Aborted) crashes.ended(run)
     this._context.log.request(request.id, 'stream ended', { end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
     return end
   }
@@ -76,7 +78,7 @@
   private _mayTry (request: GatewayRequest, { tried, runs }: StreamProgress): boolean {
     if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && (tried.length === 0 || this._spendRetry(request))
+    return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request)))
   }
 
   private _finalError (request: GatewayRequest, { runs, relay }: StreamProgress): RequestError {
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -79,5 +79,11 @@
 /** Time after its first event for which a run may still be the cause of a crash of its endpoint, in milliseconds. */
 export const RUN_START_MS = 200
 
+/** Time after its first event for which a run has to last to prove that its request does not crash endpoints, in milliseconds. */
+export const SOUND_RUN_MS = 1_000
+
+/** Time after which the caller of a quarantined request may retry, in milliseconds; a proof by then would lift the quarantine. */
+export const QUARANTINE_RETRY_AFTER_MS = 60_000
+
 /** Maximum number of parts of a prompt in a log line. */
 export const MAX_LOGGED_PARTS = 8
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -13,6 +13,7 @@
   readonly ready: () => boolean
   readonly configVersion: () => number
   readonly hosts: () => number
+  readonly quarantined: () => number
 }
 
 /** Metrics of one host. Labels are kinds and outcomes, never ids. */
@@ -47,6 +48,7 @@
     this._gauge('jaymill_ready', '1 when the host takes new work.', () => Number(gauges.ready()))
     this._gauge('jaymill_config_version', 'Version of the configuration in force.', gauges.configVersion)
     this._gauge('jaymill_hosts', 'Hosts heard lately, this one included.', gauges.hosts)
+    this._gauge('jaymill_quarantined', 'Requests and parts of prompts that are refused because they crash endpoints.', gauges.quarantined)
   }
 
   /**
--- a/packages/gateway/src/peers/JaymillHostHeartbeats.ts
+++ b/packages/gateway/src/peers/JaymillHostHeartbeats.ts
@@ -1,12 +1,13 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
-import { HostHeartbeatRateLimiter, RELAY_TIMEOUT_MS, type Clock, type SourceReader } from '@jaymill/core'
+import { HostHeartbeatRateLimiter, RELAY_TIMEOUT_MS, type Clock, type CrashQuarantine, type SourceReader } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import { Origin, type FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import {
   BATCHES_MAX_BYTES, FLEET_DIGEST_INTERVAL_MS, HOST_HEARTBEAT_CHECK_MS, HOSTS_PER_HEARTBEAT, PEER_FORGET_MS, UPDATE_COALESCE_MS, ZONE_DIGEST_INTERVAL_MS
 } from './constants.js'
+import { CrashReportSchedule } from './JaymillCrashReportSchedule.js'
 import { decodeHostMessage, encodeHostMessage, WorkScope, type HostMessage, type ReportedWork, type ZoneHosts } from './JaymillHostMessage.js'
 import { HostTable, type HostEntry } from './JaymillHostTable.js'
 import { PeriodicTask } from './JaymillPeriodicTask.js'
@@ -22,6 +23,9 @@
   readonly seeds: readonly string[]
   readonly state: FleetState
   readonly work: WorkState
+  readonly quarantine: CrashQuarantine
+  /** Called when another host has reported crashes, or proofs, that were unknown. */
+  readonly onEvidence: () => void
   /** Whether this host follows the source and its last request succeeded. */
   readonly connected: () => boolean
   readonly clock: Clock
@@ -48,6 +52,7 @@
   private readonly _startedAtMs = Date.now()
   private readonly _table: HostTable
   private readonly _relay: ZoneRelay
+  private readonly _crashReports: CrashReportSchedule
   private readonly _newerStateListeners: NewerStateListener[] = []
   private readonly _socket: Socket = createSocket('udp4')
   private readonly _rateLimiter = new HostHeartbeatRateLimiter()
@@ -66,7 +71,8 @@
    * @param context - Dependencies.
    */
   constructor (context: HostHeartbeatsContext) {
-    const { address, seeds, work, clock } = context
+    const { address, seeds, work, quarantine, clock } = context
+    this._crashReports = new CrashReportSchedule(quarantine)
     this._context = context
     this._table = new HostTable(address)
     this._relay = new ZoneRelay(() => this._self(), this._table, work, clock)
@@ -145,7 +151,14 @@
    */
   stateUpdated (origin: Origin): void {
     if (origin === Origin.Source) this.sendNow()
-    if (this.usesRelays) this._updateTimer ??= setTimeout(() => this._sendUpdate(), UPDATE_COALESCE_MS)
+    this._passOnSoon()
+  }
+
+  /** Tells the other hosts at once that this host has seen a crash, or proof against the quarantine of a request. */
+  evidenceAdded (): void {
+    this._crashReports.changed()
+    this.sendNow()
+    this._passOnSoon()
   }
 
   /** Announces the shutdown of this host. */
@@ -155,6 +168,11 @@
     if (this.usesRelays) this._sendUpdate()
   }
 
+  /** As a relay, sends an update to the hosts that report to this one, and to the other relays. */
+  private _passOnSoon (): void {
+    if (this.usesRelays) this._updateTimer ??= setTimeout(() => this._sendUpdate(), UPDATE_COALESCE_MS)
+  }
+
   private _self (): SourceReader {
     const { address, zone, connected } = this._context
     return { address, zone, connected: connected() }
@@ -259,10 +277,12 @@
     }
   }
 
-  private _message (work: ReportedWork, hosts: readonly ZoneHosts[], ask: boolean): HostMessage {
+  private _message (work: ReportedWork, hosts: readonly ZoneHosts[], ask: boolean, toNewHost = ask): HostMessage {
     this._seq += 1
     const { state, work: { roleChanges }, clock } = this._context
     const { address, zone, connected } = this._self()
+    const nowMs = clock.nowMs()
+    const crashes = this._crashReports.next(work.scope, toNewHost, nowMs)
     return {
       from: address,
       zone,
@@ -273,11 +293,12 @@
       leaving: this._leaving,
       config: state.version,
       revision: state.directory.revision,
-      graceMs: state.directory.graceMs(clock.nowMs()),
+      graceMs: state.directory.graceMs(nowMs),
       fence: roleChanges.highestFencingToken,
       batches: state.latestBatches(BATCHES_MAX_BYTES),
       hosts,
-      work
+      work,
+      ...(crashes === undefined ? {} : { crashes })
     }
   }
 
@@ -300,12 +321,21 @@
     if (!wasLive) this._context.log.stateChange('host heard', { peer: from, config, revision })
     this._context.work.roleChanges.observeFencingToken(fence)
     this._context.state.applyBatches(batches, { config, revision, graceMs })
+    this._applyCrashes(message, nowMs)
     this._applyHosts(message, nowMs)
     this._applyWork(message, entry, nowMs)
     if (ask || !isKnown) this._reply(from)
     this._notifyIfNewer(message)
   }
 
+  private _applyCrashes ({ crashes }: HostMessage, nowMs: number): void {
+    const { quarantine, onEvidence } = this._context
+    if (crashes === undefined || !quarantine.merge(crashes, nowMs)) return
+    this._crashReports.changed()
+    onEvidence()
+    this._passOnSoon()
+  }
+
   private _applyHosts ({ hosts, work }: HostMessage, nowMs: number): void {
     if (UNPROVEN_SCOPES.includes(work.scope)) hosts.forEach(({ addresses }) => addresses.filter(ip => ip !== this._context.address).forEach(ip => this._table.add(ip, nowMs)))
     else this._table.applyLists(hosts, nowMs)
@@ -335,7 +365,7 @@
 
   private _reply (ip: string): void {
     const hosts = this._listOf(this._table.live)
-    this._sendTo([ip], this._message(this.usesRelays ? NO_WORK : this._ownWork(), hosts, false))
+    this._sendTo([ip], this._message(this.usesRelays ? NO_WORK : this._ownWork(), hosts, false, true))
     if (this.usesRelays && this._relay.reporters.length > 0) this._sendFleetDigest([ip])
   }
 
--- a/packages/gateway/src/peers/JaymillHostMessage.ts
+++ b/packages/gateway/src/peers/JaymillHostMessage.ts
@@ -1,5 +1,5 @@
 import { decode, encode } from '@msgpack/msgpack'
-import type { DemandShare, EndpointChange, LoadShare } from '@jaymill/core'
+import type { CrashReport, DemandShare, EndpointChange, LoadShare } from '@jaymill/core'
 import { packAddresses, unpackAddresses } from './JaymillPackedAddresses.js'
 
 /** Hosts of one availability zone. */
@@ -77,6 +77,8 @@
   /** Live hosts known to the sender; only the lists of relays prove that a host is alive, since a relay has heard from it. */
   readonly hosts: readonly ZoneHosts[]
   readonly work: ReportedWork
+  /** Crashes of endpoints and what is known about their causes; absent when there is nothing to report. */
+  readonly crashes?: CrashReport
 }
 
 /** First element of each datagram; changes with the format. */
@@ -89,7 +91,12 @@
 type WireHosts = readonly [zone: string, addresses: Uint8Array, connected: Uint8Array]
 type WireWork = readonly [
   scope: number, part: number, parts: number, load: readonly WireShare[], directPrefills: readonly WireShare[],
-  demand: readonly WireDemand[], changing: readonly string[]
+  demand: readonly WireDemand[], changing: readonly string[], crashes?: WireCrashes
+]
+/** Follows the work, since hosts of earlier versions refuse further elements of a message but ignore them there. */
+type WireCrashes = readonly [
+  crashes: CrashReport['crashes'], quarantined: CrashReport['quarantined'], soundParts: CrashReport['soundParts'],
+  soundRequests: CrashReport['soundRequests']
 ]
 type WireMessage = readonly [
   format: number, from: string, zone: string, born: number, seq: number, connected: boolean, ask: boolean, leaving: boolean,
@@ -106,11 +113,11 @@
  * @returns Payload of a datagram.
  */
 export function encodeHostMessage (message: HostMessage): Uint8Array {
-  const { from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work } = message
+  const { from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work, crashes } = message
   const wire: WireMessage = [
     FORMAT, from, zone, born, seq, connected, ask, leaving, config, revision, Math.round(graceMs), fence, batches,
     hosts.map(list => [list.zone, packAddresses(list.addresses), packAddresses(list.connected)]),
-    [work.scope, work.part, work.parts, work.load.map(toWireShare), work.directPrefills.map(toWireShare), work.demand.map(toWireDemand), work.changing]
+    toWireWork(work, crashes)
   ]
   return encode(wire)
 }
@@ -138,7 +145,7 @@
 
 function toMessage (wire: WireMessage): HostMessage {
   const [, from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work] = wire
-  const [scope, part, parts, load, directPrefills, demand, changing] = work
+  const [scope, part, parts, load, directPrefills, demand, changing, crashes] = work
   return {
     from,
     zone,
@@ -155,10 +162,21 @@
     hosts: hosts.map(([name, addresses, connectedAddresses]) => (
       { zone: name, addresses: unpackAddresses(addresses), connected: unpackAddresses(connectedAddresses) }
     )),
-    work: { scope, part, parts, load: load.map(toShare), directPrefills: directPrefills.map(toShare), demand: demand.map(toDemand), changing: [...changing] }
+    work: { scope, part, parts, load: load.map(toShare), directPrefills: directPrefills.map(toShare), demand: demand.map(toDemand), changing: [...changing] },
+    ...(Array.isArray(crashes) ? { crashes: toCrashReport(crashes as WireCrashes) } : {})
   }
 }
 
+function toWireWork (work: ReportedWork, crashes: CrashReport | undefined): WireWork {
+  const { scope, part, parts, changing } = work
+  const wire = [scope, part, parts, work.load.map(toWireShare), work.directPrefills.map(toWireShare), work.demand.map(toWireDemand), changing] as const
+  return crashes === undefined ? wire : [...wire, [crashes.crashes, crashes.quarantined, crashes.soundParts, crashes.soundRequests]]
+}
+
+function toCrashReport ([crashes, quarantined, soundParts, soundRequests]: WireCrashes): CrashReport {
+  return { crashes, quarantined, soundParts, soundRequests }
+}
+
 function toWireShare ({ endpointId, requests, tokens }: LoadShare): WireShare {
   return [endpointId, requests, Math.round(tokens)]
 }
--- a/packages/gateway/src/peers/constants.ts
+++ b/packages/gateway/src/peers/constants.ts
@@ -25,6 +25,9 @@
 /** Time for which updates from the source are coalesced before a relay passes them on, in milliseconds. */
 export const UPDATE_COALESCE_MS = 50
 
+/** Interval between reports of crashes that have not changed, in milliseconds. */
+export const CRASH_REPORT_INTERVAL_MS = 500
+
 /** Timeout for fetching a document from another host, in milliseconds. */
 export const DOCUMENT_TIMEOUT_MS = 1_000
 
