Treat a stream that ends inside an event as broken off

What callers saw: an endpoint that crashed with a plain end of its connection inside an event gave a complete response with a part of an event, on resumable and on other routes. On a safe route of engine pools, a stream that broke off went on with the events of another run from the first one, and was complete. A crash after the head gave an empty, complete stream.

Cause: `StreamRelay` took the regular end of a body for the end of the stream, wrote the incomplete rest and ended the response. Whether the stream ended inside an event was known only on resumable routes, and only for lines that end in LF: with CRLF or CR the whole stream was held back as one event. A retry depended on whether the route is idempotent, not on whether bytes of another run had been forwarded. A stop closed the callers' connections regularly, and so did a failure over HTTP/1.0.

`EventAssembler` (resumable) and `EventPassThrough` (other routes; bytes are still forwarded as they arrive) know whether the stream ends inside an event. The relay then reports `Broken`, for any framing: the end of the connection, the last chunk or the length. The length of a stream of events is no longer forwarded, since it would complete the response. - The end of a connection before any event is `Broken` too, also after `Last-Event-Id`: a crash after the head looks the same. An explicit end (last chunk, length 0, status 204) stays complete. Bodies of another type than events end with their framing. - No run follows forwarded bytes of another one unless the route is resumable (`StreamRelay.acceptsRun`). - `abortResponse` resets over HTTP/1.0 too, and `Ingress` breaks off the responses in progress when the host stops. The reset after a failure waits 50 ms: libuv reports data and a reset that it finds together as data and a regular end.

The whole suite and the soak were not run.

Remaining: an end of the connection between two events cannot be told from a complete stream.

--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -1,11 +1,14 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { JaymillError, toProblem } from '@jaymill/core'
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
+import { RESET_DELAY_MS } from './constants.js'
 
 const HOP_BY_HOP_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 
+const HTTP_WITHOUT_CHUNKS = '1.0'
+
 /**
  * Selects the end-to-end headers of an endpoint's response (RFC 9110, section 7.6.1).
  *
@@ -38,6 +41,16 @@
 /** Responses whose end is marked only by the end of their connection. */
 const closeDelimitedResponses = new WeakSet<ServerResponse>()
 
+/**
+ * Tells whether the end of a response is marked only by the end of its connection (RFC 9112, section 6.3).
+ *
+ * @param headers - Headers of a response that may have a body.
+ * @returns Whether the response has neither a length nor chunks.
+ */
+export function isCloseDelimited (headers: IncomingHttpHeaders): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+}
+
 /**
  * Prepares a response whose end is marked only by the end of its connection (RFC 9112, section 6.3). Whether such a response
  * is complete cannot be verified, so it is forwarded with the same framing: a length would mark a truncated body as complete.
@@ -47,8 +60,7 @@
  * @returns Whether the endpoint's response is delimited by the end of its connection.
  */
 export function prepareCloseDelimited (res: ServerResponse, headers: IncomingHttpHeaders): boolean {
-  const closeDelimited = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
-  if (!closeDelimited) return false
+  if (!isCloseDelimited(headers)) return false
   res.removeHeader('Transfer-Encoding')
   res.setHeader('Connection', 'close')
   closeDelimitedResponses.add(res)
@@ -57,13 +69,25 @@
 
 /**
  * Breaks off a response so that it does not look complete to the caller. One that is delimited by the end of its connection is
- * reset, since a regular end would complete it.
+ * reset, since a regular end would complete it. The reset waits until the caller has probably read what was sent: an event loop
+ * that finds data and a reset at the same time may report the data and a regular end (libuv does).
  *
  * @param res - Response to the caller.
+ * @param delayMs - Time before a reset, in milliseconds.
  */
-export function abortResponse (res: ServerResponse): void {
-  if (closeDelimitedResponses.has(res)) res.socket?.resetAndDestroy()
-  else res.destroy()
+export function abortResponse (res: ServerResponse, delayMs = RESET_DELAY_MS): void {
+  if (!endsWithConnection(res)) res.destroy()
+  else if (delayMs === 0) resetConnection(res)
+  else setTimeout(() => resetConnection(res), delayMs)
+}
+
+/** A response over HTTP/1.0 has no chunks. */
+function endsWithConnection (res: ServerResponse): boolean {
+  return closeDelimitedResponses.has(res) || (res.headersSent && res.req.httpVersion === HTTP_WITHOUT_CHUNKS)
+}
+
+function resetConnection ({ socket }: ServerResponse): void {
+  if (socket?.destroyed === false) socket.resetAndDestroy()
 }
 
 /**
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -50,9 +50,10 @@
    * Starts to listen.
    *
    * @param listen - Address to listen on.
-   * @param signal - Closes the listener and its connections.
+   * @param signal - Closes the listener and its connections, and breaks off the responses in progress.
    */
   async start (listen: SocketAddress, signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this._running.forEach(({ res }) => abortResponse(res, 0)), { once: true })
     await listenOn(this._server, listen, signal)
   }
 
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -21,3 +21,9 @@
 
 /** Time for which a stopping host then waits until these have got their responses, in milliseconds. */
 export const STOP_RESPONSE_MS = 150
+
+/**
+ * Time between the last data of a response and the reset that breaks it off, in milliseconds; enough for a round trip within a
+ * region and for the caller to read the data.
+ */
+export const RESET_DELAY_MS = 50
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -88,8 +88,8 @@
     await this._round(request, progress)
   }
 
-  private _mayRetry (request: GatewayRequest, { runs, rounds }: PromptProgress): boolean {
-    if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS) return false
+  private _mayRetry (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): boolean {
+    if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || !relay.acceptsRun) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
     return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._spendRetry(request)
   }
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -75,8 +75,8 @@
     return end
   }
 
-  private _mayTry (request: GatewayRequest, { tried, runs }: StreamProgress): boolean {
-    if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
+  private _mayTry (request: GatewayRequest, { tried, runs, relay }: StreamProgress): boolean {
+    if (!relay.acceptsRun || request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
     return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request)))
   }
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -1,14 +1,17 @@
-import { EventAssembler } from '@jaymill/core'
-import { endToEndHeaders, prepareCloseDelimited } from '../callers/JaymillCallerResponse.js'
+import { EventAssembler, EventPassThrough, RouteKind, type EventForwarding } from '@jaymill/core'
+import { endToEndHeaders, isCloseDelimited, prepareCloseDelimited } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_EVENT_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 
+const EVENT_STREAM = 'text/event-stream'
+const STATUS_NO_CONTENT = 204
+
 /** How the relay of one response ended. */
 export enum RelayOutcome {
   Complete = 'complete',
-  /** The endpoint's stream broke off or exceeded the idle timeout; the caller's stream is still open. */
+  /** The endpoint's stream broke off, ended inside an event or exceeded the idle timeout; the caller's stream is still open. */
   Broken = 'broken',
   /** The caller has disconnected or the request has timed out. */
   Aborted = 'ended'
@@ -19,6 +22,7 @@
   private readonly _request: GatewayRequest
   private readonly _resumable: boolean
   private _lastEventId: string | undefined
+  private _hasEvents = true
   private _bytes = 0
 
   /**
@@ -40,6 +44,11 @@
     return this._request.res.headersSent
   }
 
+  /** Whether the response of another run may follow the bytes forwarded so far. */
+  get acceptsRun (): boolean {
+    return this._resumable || this._bytes === 0
+  }
+
   /** Bytes forwarded so far. */
   get bytes (): number {
     return this._bytes
@@ -56,19 +65,21 @@
   async forward (response: StreamedResponse, idleTimeoutMs: number | undefined, onFirst: () => void): Promise<RelayOutcome> {
     const { res } = this._request
     if (!res.headersSent) {
+      this._hasEvents = this._isEventStream(response)
       prepareCloseDelimited(res, response.headers)
       res.writeHead(response.status, this._head(response))
       res.flushHeaders()
     }
-    const events = new EventAssembler()
+    const events = this._resumable ? new EventAssembler() : new EventPassThrough()
+    const bytesBefore = this._bytes
     const idleTimer = this._startIdleTimer(response, idleTimeoutMs)
     try {
       for await (const chunk of response.body as AsyncIterable<Buffer>) {
         idleTimer?.refresh()
         if (this._bytes === 0) onFirst()
-        await this._write(this._resumable ? this._completeEvents(events, chunk) : chunk)
+        await this._write(this._forwardableBytes(events, chunk))
       }
-      return await this._finish(events)
+      return await this._finish(events, this._bytes === bytesBefore && this._endsWithConnection(response))
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err
       return this._request.signal.aborted ? RelayOutcome.Aborted : RelayOutcome.Broken
@@ -77,9 +88,21 @@
     }
   }
 
+  /** A response without a type is a stream of events only on a route for streams. */
+  private _isEventStream ({ headers }: StreamedResponse): boolean {
+    const type = headers['content-type']?.split(';')[0]?.trim().toLowerCase()
+    return type === undefined ? this._request.route.kind === RouteKind.Streaming : type === EVENT_STREAM
+  }
+
+  private _endsWithConnection ({ status, headers }: StreamedResponse): boolean {
+    const mayHaveBody = status !== STATUS_NO_CONTENT && this._request.req.method !== 'HEAD'
+    return mayHaveBody && isCloseDelimited(headers)
+  }
+
+  /** Drops the length of a stream of events: with it, a stream that ends inside an event would look complete to the caller. */
   private _head ({ headers }: StreamedResponse): ReturnType<typeof endToEndHeaders> {
     const { 'content-length': length, ...rest } = endToEndHeaders(headers)
-    return this._resumable || length === undefined ? rest : { ...rest, 'content-length': length }
+    return this._resumable || this._hasEvents || length === undefined ? rest : { ...rest, 'content-length': length }
   }
 
   private _startIdleTimer ({ body }: StreamedResponse, idleTimeoutMs: number | undefined): NodeJS.Timeout | undefined {
@@ -87,15 +110,17 @@
     return setTimeout(() => body.destroy(new ExchangeError(ExchangeFailure.Timeout, 'no event within the idle timeout')), idleTimeoutMs)
   }
 
-  private _completeEvents (events: EventAssembler, chunk: Buffer): Buffer {
+  private _forwardableBytes (events: EventForwarding, chunk: Buffer): Buffer {
     const { bytes, lastId } = events.push(chunk)
     if (events.pendingBytes > MAX_EVENT_BYTES) throw new ExchangeError(ExchangeFailure.Malformed, `an event exceeds ${MAX_EVENT_BYTES} bytes`)
     this._lastEventId = lastId ?? this._lastEventId
     return bytes
   }
 
-  private async _finish (events: EventAssembler): Promise<RelayOutcome> {
+  /** Ends the caller's stream, unless the endpoint's ended inside an event or, without an event, only with its connection. */
+  private async _finish (events: EventForwarding, emptyWithConnection: boolean): Promise<RelayOutcome> {
     if (this._request.signal.aborted) return RelayOutcome.Aborted
+    if (this._hasEvents && (events.insideEvent || emptyWithConnection)) return RelayOutcome.Broken
     await this._write(events.end())
     this._request.res.end()
     return RelayOutcome.Complete
