--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -210,6 +210,15 @@
 /** Incidents after which a part is quarantined if different requests carried it: they have fewer other keys in common. */
 export const PART_QUARANTINE_INCIDENTS_OF_DIFFERENT_REQUESTS = 2
 
+/** Latest requests of a host among which a quarantined key must refuse a large share to be probed. */
+export const PROBE_WINDOW_REQUESTS = 32
+
+/** Share of these requests above which a key is more likely shared by sound requests than the cause of crashes. */
+export const PROBE_MIN_SHARE = 0.5
+
+/** Interval between the probes of all hosts together, in milliseconds: longer than a proof takes. */
+export const PROBE_INTERVAL_MS = 2_000
+
 /** Maximum number of crashes that a host keeps; limits memory and the time of a decision. */
 export const MAX_STORED_CRASHES = 64
 
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -160,7 +160,7 @@
       directPrefills,
       demand,
       roleChanges,
-      crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, share: () => this._heartbeats.evidenceAdded() }),
+      crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, hostCount: () => this._heartbeats.hostCount, share: () => this._heartbeats.evidenceAdded() }),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
--- a/packages/gateway/src/forwarding/JaymillCrashGuard.ts
+++ b/packages/gateway/src/forwarding/JaymillCrashGuard.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, RanState, RequestError, type Clock, type CrashQuarantine, type EndpointRecord, type RunKeys } from '@jaymill/core'
+import { ErrorKind, QuarantineProbes, RanState, RequestError, type Clock, type CrashQuarantine, type EndpointRecord, type RunKeys } from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
@@ -21,6 +21,8 @@
   readonly log: GatewayLog
   readonly metrics: GatewayMetrics
   readonly quarantine: CrashQuarantine
+  /** Number of hosts that share the rate of probes. */
+  readonly hostCount: () => number
   /** Tells the other hosts about new evidence of this host. */
   readonly share: () => void
 }
@@ -29,6 +31,9 @@
 export class CrashGuard {
   private readonly _context: CrashGuardContext
   private readonly _detector: CrashDetector
+  private readonly _probes = new QuarantineProbes()
+  /** Keys of the requests that were let through as probes. */
+  private readonly _probing = new WeakSet<RunKeys>()
   private _quarantinedKeys: ReadonlySet<string> = new Set()
 
   /**
@@ -53,6 +58,27 @@
     return quarantine.quarantined(keys, clock.nowMs()) !== undefined
   }
 
+  /**
+   * Refuses a request that has just arrived and is quarantined, unless it is let through as a probe.
+   *
+   * @param request - The request.
+   * @throws RequestError of kind `CrashSuspect`.
+   */
+  admit (request: GatewayRequest): void {
+    const { quarantine, clock, log, hostCount } = this._context
+    const nowMs = clock.nowMs()
+    const key = quarantine.quarantined(request.keys, nowMs)
+    if (key === undefined) {
+      this._probes.accepted()
+      return
+    }
+    if (this._probes.tryProbe(key, hostCount(), nowMs)) {
+      log.request(request.id, 'quarantine probed', { key })
+      this._probing.add(request.keys)
+    }
+    this.check(request, false)
+  }
+
   /**
    * Refuses a request that is quarantined.
    *
@@ -63,7 +89,7 @@
   check ({ id, keys }: GatewayRequest, mayHaveRun: boolean): void {
     const { quarantine, clock, log } = this._context
     const key = quarantine.quarantined(keys, clock.nowMs())
-    if (key === undefined) return
+    if (key === undefined || this._probing.has(keys)) return
     log.request(id, 'quarantined', { key, mayHaveRun })
     const message = `endpoints crashed when they began to respond to requests with ${key}`
     throw mayHaveRun
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -62,7 +62,7 @@
     const { budget, demand, clock, crashes } = this._context
     const request = this._estimates.withExpectedOutput(original)
     const hintTokens = original.metadata.prompt?.expectedOutputTokens ?? 0
-    crashes.check(request, false)
+    crashes.admit(request)
     budget.countRequest(request.service.name, clock.nowMs())
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
     await this._round(request, { relay: new StreamRelay(request), hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -25,7 +25,7 @@
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
-    this._context.crashes.check(request, false)
+    this._context.crashes.admit(request)
     this._context.budget.countRequest(request.service.name, this._context.clock.nowMs())
     await this._tryNext(request, { relay: new StreamRelay(request), tried: [], runs: 0 })
   }
