Accept no request after an idle host has decided to end its stop

Cause: since the requests in progress get responses at the end of a stop, an idle host waits up to 150 ms for these; in this time its listener was open, its planned end was still seconds away, and what came was accepted and then closed. Change: deciding to end sets the planned end to that moment, so that later requests are refused as not run, and an idle host does not wait.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -136,8 +136,10 @@
     const endMs = startMs + this._settings.bounds.graceSeconds * MS_PER_SECOND - STOP_MARGIN_MS
     this._plannedStop = { acceptUntilMs: startMs + STOP_ACCEPT_MS, endMs }
     await this._waitUntil(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
+    const stopMs = clock.nowMs()
+    this._plannedStop = { acceptUntilMs: stopMs, endMs: stopMs }
     this._ingress.abortUnfinished()
-    const responseEndMs = clock.nowMs() + STOP_RESPONSE_MS
+    const responseEndMs = stopMs + STOP_RESPONSE_MS
     await this._waitUntil(() => this._ingress.running === 0 || clock.nowMs() >= responseEndMs)
     log.stateChange('stopped', { running: this._ingress.running, ms: Math.round(clock.nowMs() - startMs) })
     this._abort.abort()
@@ -219,6 +221,7 @@
   }
 
   private async _waitUntil (done: () => boolean): Promise<void> {
+    if (done()) return
     await new Promise<void>(resolve => {
       const timer = setInterval(() => {
         if (!done()) return
