Leave a margin between the estimate's window and the load balancer's

What callers could see: when a busy process handles SIGTERM late, a request that was sent more than 3 s after it is accepted by an estimate of its duration, and cut. Cause: the 3 s in which the estimate decides began when the signal was handled. Found in review; the class is that of the estimate used as a bound. Change: the estimate decides for 2.5 s, two readiness checks of the load balancer and a half; a stopping host still accepts connections for 3 s at least.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -5,7 +5,7 @@
   PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
-import { STOP_ACCEPT_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
+import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
 import type { GatewayRequest } from './callers/JaymillGatewayRequest.js'
 import { Ingress } from './callers/JaymillIngress.js'
 import { listenOn } from './callers/JaymillListener.js'
@@ -134,7 +134,7 @@
     log.stateChange('stopping', { running: this._ingress.running, graceSeconds: this._settings.bounds.graceSeconds })
     this._heartbeats.leave()
     const endMs = startMs + this._settings.bounds.graceSeconds * MS_PER_SECOND - STOP_MARGIN_MS
-    this._plannedStop = { acceptUntilMs: startMs + STOP_ACCEPT_MS, endMs }
+    this._plannedStop = { acceptUntilMs: startMs + STOP_ESTIMATE_MS, endMs }
     await this._waitUntil(() => clock.nowMs() >= endMs || (this._ingress.running === 0 && clock.nowMs() - startMs >= STOP_ACCEPT_MS))
     const stopMs = clock.nowMs()
     this._plannedStop = { acceptUntilMs: stopMs, endMs: stopMs }
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -16,6 +16,12 @@
  */
 export const STOP_ACCEPT_MS = 3_000
 
+/**
+ * Time for which a stopping host accepts requests by an estimate of their duration, in milliseconds: two readiness checks of the
+ * load balancer. The rest of the time above is a margin for a signal that is handled late.
+ */
+export const STOP_ESTIMATE_MS = 2_500
+
 /** Time before the end of the grace period at which a stopping host gives up the requests in progress, in milliseconds. */
 export const STOP_MARGIN_MS = 400
 
