Send reports of crashes to all hosts at once, with the ages of that moment

Change: replies are sent in addition, and each report is built when it is sent, at most twice a second for each scope. Test: JaymillCrashReportSchedule, both tests; in review the first failed on the code before.

--- a/packages/gateway/src/peers/JaymillCrashReportSchedule.ts
+++ b/packages/gateway/src/peers/JaymillCrashReportSchedule.ts
@@ -9,7 +9,6 @@
 export class CrashReportSchedule {
   private readonly _quarantine: CrashQuarantine
   private readonly _sentMs = new Map<WorkScope, number>()
-  private _report: { readonly report: CrashReport, readonly builtMs: number } | undefined
 
   /**
    * @param quarantine - Evidence to report.
@@ -21,7 +20,6 @@
   /** Lets the next message of each scope carry the report. */
   changed (): void {
     this._sentMs.clear()
-    this._report = undefined
   }
 
   /**
@@ -32,11 +30,9 @@
    */
   next (scope: WorkScope, toNewHost: boolean, nowMs: number): CrashReport | undefined {
     if (this._quarantine.isEmpty(nowMs)) return undefined
-    if (!toNewHost && nowMs - (this._sentMs.get(scope) ?? Number.NEGATIVE_INFINITY) < CRASH_REPORT_INTERVAL_MS) return undefined
-    this._sentMs.set(scope, nowMs)
-    if (this._report === undefined || nowMs - this._report.builtMs >= CRASH_REPORT_INTERVAL_MS) {
-      this._report = { report: this._quarantine.report(nowMs), builtMs: nowMs }
-    }
-    return this._report.report
+    const isDue = nowMs - (this._sentMs.get(scope) ?? Number.NEGATIVE_INFINITY) >= CRASH_REPORT_INTERVAL_MS
+    if (!isDue && !toNewHost) return undefined
+    if (!toNewHost) this._sentMs.set(scope, nowMs)
+    return this._quarantine.report(nowMs)
   }
 }
--- a/packages/gateway/src/peers/JaymillHostHeartbeats.ts
+++ b/packages/gateway/src/peers/JaymillHostHeartbeats.ts
@@ -62,6 +62,7 @@
   private _reportTimer: NodeJS.Timeout | undefined
   private _updateTimer: NodeJS.Timeout | undefined
   private _leaving = false
+  private _closed = false
   private _sampleStart = 0
   private _fleetParts = 0
   /** Work in the last report of this host, which the digests of its relays contain. */
@@ -128,6 +129,7 @@
     const timer = setInterval(() => this._tick(), HOST_HEARTBEAT_CHECK_MS)
     signal.addEventListener('abort', () => {
       [timer, this._reportTimer, this._updateTimer].forEach(pending => clearTimeout(pending))
+      this._closed = true
       this._socket.close()
     }, { once: true })
     this._report(true)
@@ -244,6 +246,7 @@
   }
 
   private _sendTo (receivers: readonly string[], message: HostMessage): void {
+    if (this._closed) return
     const bytes = encodeHostMessage(message)
     receivers.forEach(ip => this._socket.send(bytes, this._context.listen.port, ip, err => {
       if (err !== null && err !== undefined) this._context.log.warn('heartbeat not sent', { peer: ip, reason: err.message })
