Count complete events as progress and as proof of a run, per run

What callers would see (found in review): engines go on crashing although the part that crashes them had been quarantined, when they crash inside their first event (29 crashes in 10 requests), after it in a response without length and chunks (8 in 8) or without closing their connections (20 in 5); and a stream that crashes have moved from engine to engine is taken for their cause. Cause: progress was bytes of the response, counted over all its runs, and a timer after the first bytes was the proof. A first event in two parts started two timers, one of which was never cleared; a silent engine passed for one that goes on; a resumed run never made progress; the end of a connection between two events passed for a complete response. Change: the relay reports complete events of each run. A run may be the cause of a crash until its events span 0.2 s, and proves its keys when they span 0.5 s or it completes. If only the end of its connection ends a response, the endpoint is checked before that counts. An endpoint whose call timed out is checked too. Tests: JaymillCrashingPrompts, three kinds of crashes and the resumed stream; in review each failed on the code before, with the figures above.

--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -41,6 +41,19 @@
 /** Responses whose end is marked only by the end of their connection. */
 const closeDelimitedResponses = new WeakSet<ServerResponse>()
 
+const STATUS_NO_CONTENT = 204
+
+/**
+ * Tells whether only the end of its connection marked the end of a response that has arrived.
+ *
+ * @param response - Head of the response.
+ * @param method - Method of the request.
+ * @returns Whether the response may have a body, and has neither a length nor chunks.
+ */
+export function endedWithConnection ({ status, headers }: Pick<BufferedResponse, 'status' | 'headers'>, method: string | undefined): boolean {
+  return status !== STATUS_NO_CONTENT && method !== 'HEAD' && isCloseDelimited(headers)
+}
+
 /**
  * Tells whether the end of a response is marked only by the end of its connection (RFC 9112, section 6.3).
  *
--- a/packages/gateway/src/forwarding/JaymillCrashGuard.ts
+++ b/packages/gateway/src/forwarding/JaymillCrashGuard.ts
@@ -11,8 +11,10 @@
   readonly keys: RunKeys
   /** Monotonic time of the first event of its response, in milliseconds; absent before. */
   firstEventMs?: number
-  /** Fires when the response has lasted long enough to prove the request sound. */
-  soundTimer?: NodeJS.Timeout
+  /** Monotonic time of the latest event, in milliseconds; absent before the first. */
+  lastEventMs?: number
+  /** Whether its events have proven its keys. */
+  proven?: boolean
 }
 
 /** Dependencies of the guard. */
@@ -41,7 +43,7 @@
    */
   constructor (context: CrashGuardContext) {
     this._context = context
-    this._detector = new CrashDetector(context, crash => this._recordCrash(crash))
+    this._detector = new CrashDetector(context.log, crash => this._recordCrash(crash))
   }
 
   /** Number of requests and parts of prompts that this host knows to be quarantined. */
@@ -109,23 +111,28 @@
   }
 
   /**
-   * Records the first event of a run.
+   * Records that complete events of a run have arrived. Events that arrive long enough after the first one prove its keys.
    *
    * @param run - The run.
    */
-  firstEvent (run: TrackedRun): void {
-    run.firstEventMs = this._context.clock.nowMs()
-    run.soundTimer = setTimeout(() => this._recordSound(run), SOUND_RUN_MS)
+  eventsArrived (run: TrackedRun): void {
+    const nowMs = this._context.clock.nowMs()
+    run.firstEventMs ??= nowMs
+    run.lastEventMs = nowMs
+    if (run.proven === true || nowMs - run.firstEventMs < SOUND_RUN_MS) return
+    run.proven = true
+    this._recordSound(run)
   }
 
   /**
-   * Records that the endpoint has responded to a run completely.
+   * Records that the response to a run has ended as complete.
    *
    * @param run - The run.
+   * @param endedWithConnection - Whether only the end of its connection marks its end, which a crash looks like.
    */
-  completed (run: TrackedRun): void {
-    clearTimeout(run.soundTimer)
-    this._recordSound(run)
+  completed (run: TrackedRun, endedWithConnection: boolean): void {
+    if (endedWithConnection) this._checkEndpoint(run, () => this._recordSound(run))
+    else this._recordSound(run)
   }
 
   /**
@@ -134,17 +141,7 @@
    * @param run - The run.
    */
   brokeOff (run: TrackedRun): void {
-    clearTimeout(run.soundTimer)
-    this._detector.brokeOff(run)
-  }
-
-  /**
-   * Records that a run has ended for a reason that says nothing about its endpoint.
-   *
-   * @param run - The run.
-   */
-  ended (run: TrackedRun): void {
-    clearTimeout(run.soundTimer)
+    this._checkEndpoint(run, () => {})
   }
 
   /** Logs what the evidence of this and other hosts has changed. */
@@ -156,6 +153,13 @@
     ;[...before].filter(key => !this._quarantinedKeys.has(key)).forEach(key => log.stateChange('quarantine ended', { key }))
   }
 
+  private _checkEndpoint (run: TrackedRun, onReachable: () => void): void {
+    this._detector.hasCrashed(run).then(
+      crashed => { if (!crashed) onReachable() },
+      (err: Error) => this._context.log.warn('endpoint not checked', { endpoint: run.endpoint.id, reason: err.message })
+    )
+  }
+
   private _recordCrash (crash: DetectedCrash): void {
     const { quarantine, clock, metrics } = this._context
     if (!quarantine.recordCrash(crash, clock.nowMs())) return
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -2,7 +2,7 @@
   CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
-import { sendResponse } from '../callers/JaymillCallerResponse.js'
+import { endedWithConnection, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
@@ -94,7 +94,7 @@
     const verdict = classifyResponse(this._context.dialect, request.id, response.status, response.headers)
     this._recordOutcome(endpoint, verdict === ResponseVerdict.Success ? CallOutcome.Success : CallOutcome.Failure)
     if (verdict === ResponseVerdict.Unusable) this._context.calls.closeConnections(endpoint)
-    if (verdict === ResponseVerdict.Success) this._context.crashes.completed(this._context.crashes.track(request, endpoint))
+    if (verdict === ResponseVerdict.Success) this._context.crashes.completed(this._context.crashes.track(request, endpoint), endedWithConnection(response, request.req.method))
     return { endpoint, verdict, response }
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -276,7 +276,7 @@
       finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
       this._reservations.release(request, reservation, prompt)
       if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
-      if (err.failure === ExchangeFailure.Broken) crashes.brokeOff(run)
+      if (!notRun && !request.signal.aborted) crashes.brokeOff(run)
       if (!notRun) progress.runs += 1
       progress.avoidedIds.add(endpoint.id)
       return undefined
@@ -318,11 +318,11 @@
     const { endpoint } = run
     const startMs = clock.nowMs()
     const idleTimeoutMs = request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined
-    const end = await progress.relay.forward(response, idleTimeoutMs, () => {
-      crashes.firstEvent(run)
+    const onFirst = (): void => {
       metrics.recordFirstEvent(this._elapsedMs(request))
       log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
-    })
+    }
+    const end = await progress.relay.forward(response, idleTimeoutMs, { onFirst, onEvents: () => crashes.eventsArrived(run) })
     log.request(request.id, 'stream ended', {
       endpoint: endpoint.id,
       end,
@@ -335,7 +335,7 @@
     if (end === RelayOutcome.Complete) {
       metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
       this._estimates.recordCompleted(request, progress.hintTokens, progress.relay.bytes, clock.nowMs() - startMs)
-      crashes.completed(run)
+      crashes.completed(run, progress.relay.endedWithConnection)
     }
     if (end === RelayOutcome.Broken) {
       this._recordOutcome(endpoint, CallOutcome.Failure)
@@ -343,10 +343,7 @@
       progress.avoidedIds.add(endpoint.id)
       return true
     }
-    if (end === RelayOutcome.Aborted) {
-      crashes.ended(run)
-      abortResponse(request.res)
-    }
+    if (end === RelayOutcome.Aborted) abortResponse(request.res)
     return false
   }
 
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -64,13 +64,12 @@
 
   private async _relayStream (request: GatewayRequest, relay: StreamRelay, response: StreamedResponse, run: TrackedRun): Promise<RelayOutcome> {
     const { metrics, crashes } = this._context
-    const end = await relay.forward(response, request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined, () => {
-      metrics.recordFirstEvent(this._elapsedMs(request))
-      crashes.firstEvent(run)
+    const end = await relay.forward(response, request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined, {
+      onFirst: () => metrics.recordFirstEvent(this._elapsedMs(request)),
+      onEvents: () => crashes.eventsArrived(run)
     })
     if (end === RelayOutcome.Broken) crashes.brokeOff(run)
-    if (end === RelayOutcome.Complete) crashes.completed(run)
-    if (end === RelayOutcome.Aborted) crashes.ended(run)
+    if (end === RelayOutcome.Complete) crashes.completed(run, relay.endedWithConnection)
     this._context.log.request(request.id, 'stream ended', { end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
     return end
   }
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -1,12 +1,11 @@
 import { EventAssembler, EventPassThrough, RouteKind, type EventForwarding } from '@jaymill/core'
-import { endToEndHeaders, isCloseDelimited, prepareCloseDelimited } from '../callers/JaymillCallerResponse.js'
+import { endedWithConnection, endToEndHeaders, prepareCloseDelimited } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_EVENT_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 
 const EVENT_STREAM = 'text/event-stream'
-const STATUS_NO_CONTENT = 204
 
 /** How the relay of one response ended. */
 export enum RelayOutcome {
@@ -17,6 +16,14 @@
   Aborted = 'ended'
 }
 
+/** Told about the progress of a relay. */
+export interface RelayListener {
+  /** Called when the first bytes of the response are forwarded, whichever run they come from. */
+  readonly onFirst: () => void
+  /** Called when events of this run have arrived completely. */
+  readonly onEvents: () => void
+}
+
 /** Forwards the events of one request to its caller, from one or several endpoints in sequence. */
 export class StreamRelay {
   private readonly _request: GatewayRequest
@@ -24,6 +31,7 @@
   private _lastEventId: string | undefined
   private _hasEvents = true
   private _bytes = 0
+  private _endedWithConnection = false
 
   /**
    * @param request - Request whose caller receives the events.
@@ -49,6 +57,11 @@
     return this._resumable || this._bytes === 0
   }
 
+  /** Whether only the end of its connection marks the end of the last response. */
+  get endedWithConnection (): boolean {
+    return this._endedWithConnection
+  }
+
   /** Bytes forwarded so far. */
   get bytes (): number {
     return this._bytes
@@ -59,10 +72,10 @@
    *
    * @param response - Successful response of an endpoint; only the head of the first one is sent to the caller.
    * @param idleTimeoutMs - Idle time after which the response counts as broken, in milliseconds; `undefined` for no limit.
-   * @param onFirst - Called when the first bytes have arrived.
+   * @param listener - Told about the progress of the relay.
    * @returns How the relay ended.
    */
-  async forward (response: StreamedResponse, idleTimeoutMs: number | undefined, onFirst: () => void): Promise<RelayOutcome> {
+  async forward (response: StreamedResponse, idleTimeoutMs: number | undefined, { onFirst, onEvents }: RelayListener): Promise<RelayOutcome> {
     const { res } = this._request
     if (!res.headersSent) {
       this._hasEvents = this._isEventStream(response)
@@ -71,15 +84,19 @@
       res.flushHeaders()
     }
     const events = this._resumable ? new EventAssembler() : new EventPassThrough()
+    this._endedWithConnection = endedWithConnection(response, this._request.req.method)
     const bytesBefore = this._bytes
     const idleTimer = this._startIdleTimer(response, idleTimeoutMs)
     try {
       for await (const chunk of response.body as AsyncIterable<Buffer>) {
         idleTimer?.refresh()
-        if (this._bytes === 0) onFirst()
-        await this._write(this._forwardableBytes(events, chunk))
+        const eventsBefore = events.events
+        const bytes = this._forwardableBytes(events, chunk)
+        if (events.events > eventsBefore) onEvents()
+        if (this._bytes === 0 && bytes.length > 0) onFirst()
+        await this._write(bytes)
       }
-      return await this._finish(events, this._bytes === bytesBefore && this._endsWithConnection(response))
+      return await this._finish(events, this._bytes === bytesBefore && this._endedWithConnection)
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err
       return this._request.signal.aborted ? RelayOutcome.Aborted : RelayOutcome.Broken
@@ -94,11 +111,6 @@
     return type === undefined ? this._request.route.kind === RouteKind.Streaming : type === EVENT_STREAM
   }
 
-  private _endsWithConnection ({ status, headers }: StreamedResponse): boolean {
-    const mayHaveBody = status !== STATUS_NO_CONTENT && this._request.req.method !== 'HEAD'
-    return mayHaveBody && isCloseDelimited(headers)
-  }
-
   /** Drops the length of a stream of events: with it, a stream that ends inside an event would look complete to the caller. */
   private _head ({ headers }: StreamedResponse): ReturnType<typeof endToEndHeaders> {
     const { 'content-length': length, ...rest } = endToEndHeaders(headers)
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -76,10 +76,10 @@
 /** Assumed duration of a stream of a plain service, in milliseconds. */
 export const PLAIN_STREAM_MS = 4_000
 
-/** Time after its first event for which a run may still be the cause of a crash of its endpoint, in milliseconds. */
+/** Time over which events of a run must have arrived for it not to be the cause of a crash of its endpoint, in milliseconds. */
 export const RUN_START_MS = 200
 
-/** Time after its first event for which a run has to last to prove that its request does not crash endpoints, in milliseconds. */
+/** Time over which events of a run must have arrived to prove that its request does not crash endpoints, in milliseconds. */
 export const SOUND_RUN_MS = 500
 
 /** Time after which the caller of a quarantined request may retry, in milliseconds; a proof by then would lift the quarantine. */
