Name what crashes prove in the usual terms

Cause: names and comments of the quarantine spoke of sound and deadly parts. Change: proofs, proven keys and poison prompts; the log says interrupted by the stop. The positions on the wire are unchanged. No behaviour changes. Verified: types, linter, the tests of the quarantine.

--- a/packages/core/src/__tests__/unit/gateway/JaymillCrashQuarantine.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillCrashQuarantine.test.ts
@@ -24,29 +24,29 @@
 
 describe('a part that crashes engines', () => {
   test('in the middle is refused in any other request, and its shared first part is not, though nothing is proven', () => {
-    const quarantine = crashes([[run('r1', 'first', 'deadly', 'a')], [run('r2', 'first', 'deadly', 'b')]])
-    expect(quarantine.quarantined(run('r3', 'first', 'deadly', 'c'), AFTER_MS)).toBe('deadly')
+    const quarantine = crashes([[run('r1', 'first', 'poison', 'a')], [run('r2', 'first', 'poison', 'b')]])
+    expect(quarantine.quarantined(run('r3', 'first', 'poison', 'c'), AFTER_MS)).toBe('poison')
     expect(isRefused(quarantine, run('r4', 'first', 'a'))).toBe(false)
     expect(isRefused(quarantine, run('r5', 'first', 'b'))).toBe(false)
   })
 
   test('in the middle is refused, and its proven first part is not, though more crashes have that', () => {
     const quarantine = new CrashQuarantine()
-    quarantine.recordSound(run('s', 'first'), START_MS)
-    crashes([[run('r1', 'first', 'deadly')], [run('r2', 'first', 'deadly')], [run('r3', 'first')], [run('r4', 'first')]], quarantine)
-    expect(quarantine.quarantined(run('r5', 'first', 'deadly'), AFTER_MS)).toBe('deadly')
+    quarantine.recordProof(run('s', 'first'), START_MS)
+    crashes([[run('r1', 'first', 'poison')], [run('r2', 'first', 'poison')], [run('r3', 'first')], [run('r4', 'first')]], quarantine)
+    expect(quarantine.quarantined(run('r5', 'first', 'poison'), AFTER_MS)).toBe('poison')
     expect(isRefused(quarantine, run('r6', 'first'))).toBe(false)
   })
 
   test('at the first position is refused, and the other parts are not', () => {
-    const quarantine = crashes([[run('r1', 'deadly', 'a', 'b')], [run('r2', 'deadly', 'c', 'd')]])
-    expect(quarantine.quarantined(run('r3', 'deadly', 'e'), AFTER_MS)).toBe('deadly')
+    const quarantine = crashes([[run('r1', 'poison', 'a', 'b')], [run('r2', 'poison', 'c', 'd')]])
+    expect(quarantine.quarantined(run('r3', 'poison', 'e'), AFTER_MS)).toBe('poison')
     expect(isRefused(quarantine, run('r4', 'other', 'a', 'b', 'c', 'd'))).toBe(false)
   })
 
   test('is not refused after one crash', () => {
-    const quarantine = crashes([[run('r1', 'deadly'), run('r2', 'deadly')]])
-    expect(isRefused(quarantine, run('r1', 'deadly'))).toBe(false)
+    const quarantine = crashes([[run('r1', 'poison'), run('r2', 'poison')]])
+    expect(isRefused(quarantine, run('r1', 'poison'))).toBe(false)
   })
 
   test('is refused after three crashes if the same request carried it, not after two', () => {
@@ -80,7 +80,7 @@
   // Guards against causes that crash endpoints at about the same time and release each other with each new crash.
   test('stays refused while another part crashes engines at about the same time', () => {
     const quarantine = new CrashQuarantine()
-    quarantine.recordSound(run('s', 'system'), 0)
+    quarantine.recordProof(run('s', 'system'), 0)
     const crashesOf = new Map([['d1', 0], ['d2', 0]])
     Array.from({ length: 50 }, (_, i) => 1_000 + i * 400).forEach(startMs => [...crashesOf.keys()].forEach((part, i) => {
       const atMs = startMs + i * 100
@@ -103,10 +103,10 @@
   test('that one host alone saw is refused once the crash of another host explains it', () => {
     const quarantine = crashes([[run('r1', 'first')], [run('r2', 'first')]])
     expect(isRefused(quarantine, run('r', 'first'))).toBe(true)
-    quarantine.recordCrash({ id: 'e0', runs: [run('r3', 'first', 'deadly')] }, AFTER_MS)
-    quarantine.recordCrash({ id: 'e1', runs: [run('r4', 'first', 'deadly')] }, AFTER_MS)
+    quarantine.recordCrash({ id: 'e0', runs: [run('r3', 'first', 'poison')] }, AFTER_MS)
+    quarantine.recordCrash({ id: 'e1', runs: [run('r4', 'first', 'poison')] }, AFTER_MS)
     expect(isRefused(quarantine, run('r', 'first'))).toBe(false)
-    expect(isRefused(quarantine, run('r', 'first', 'deadly'))).toBe(true)
+    expect(isRefused(quarantine, run('r', 'first', 'poison'))).toBe(true)
   })
 })
 
@@ -131,13 +131,13 @@
 
   test('may be a sound one beside the cause, but then its shared parts are not refused', () => {
     const sound = run('sound', 'first', 'shared', 'more')
-    const quarantine = crashes([[sound, run('r1', 'first', 'deadly')], [sound, run('r2', 'first', 'deadly')]])
-    expect(quarantine.quarantined(run('r3', 'first', 'deadly'), AFTER_MS)).toBe('deadly')
+    const quarantine = crashes([[sound, run('r1', 'first', 'poison')], [sound, run('r2', 'first', 'poison')]])
+    expect(quarantine.quarantined(run('r3', 'first', 'poison'), AFTER_MS)).toBe('poison')
     expect(isRefused(quarantine, run('other', 'first', 'shared', 'more'))).toBe(false)
   })
 
   test('is still refused by its fingerprint when it was beside a part that explains the crashes', () => {
-    const quarantine = crashes([[run('r'), run('r1', 'deadly')], [run('r'), run('r2', 'deadly')]])
+    const quarantine = crashes([[run('r'), run('r1', 'poison')], [run('r'), run('r2', 'poison')]])
     expect(quarantine.quarantined(run('r'), AFTER_MS)).toBe('r')
   })
 })
@@ -171,22 +171,22 @@
   test('lifts the quarantine of a request and of its parts', () => {
     const quarantine = crashes([[run('r', 'a'), run('s', 'b')], [run('r', 'a'), run('t', 'b')]])
     expect([run('r'), run('x', 'b')].map(keys => isRefused(quarantine, keys))).toEqual([true, true])
-    expect(quarantine.recordSound(run('r', 'b'), AFTER_MS)).toBe(true)
+    expect(quarantine.recordProof(run('r', 'b'), AFTER_MS)).toBe(true)
     expect([run('r'), run('x', 'b')].map(keys => isRefused(quarantine, keys))).toEqual([false, false])
-    expect(quarantine.recordSound(run('r', 'b'), AFTER_MS)).toBe(false)
+    expect(quarantine.recordProof(run('r', 'b'), AFTER_MS)).toBe(false)
   })
 
   test('of one part makes the crashes count against another', () => {
-    const quarantine = crashes([[run('r1', 'deadly', 'p')], [run('r2', 'deadly', 'p')]])
-    expect(quarantine.quarantined(run('r', 'deadly', 'p'), AFTER_MS)).toBe('p')
-    quarantine.recordSound(run('s', 'p'), AFTER_MS)
-    expect(quarantine.quarantined(run('r', 'deadly', 'p'), AFTER_MS)).toBe('deadly')
+    const quarantine = crashes([[run('r1', 'poison', 'p')], [run('r2', 'poison', 'p')]])
+    expect(quarantine.quarantined(run('r', 'poison', 'p'), AFTER_MS)).toBe('p')
+    quarantine.recordProof(run('s', 'p'), AFTER_MS)
+    expect(quarantine.quarantined(run('r', 'poison', 'p'), AFTER_MS)).toBe('poison')
   })
 
   test('counts for crashes within its TTL, not for later ones', () => {
     const afterProof = (delayMs: number): CrashQuarantine => {
       const quarantine = new CrashQuarantine()
-      quarantine.recordSound(run('s', 'p'), START_MS - delayMs)
+      quarantine.recordProof(run('s', 'p'), START_MS - delayMs)
       return crashes([[run('r1', 'p')], [run('r2', 'p')]], quarantine)
     }
     expect(isRefused(afterProof(TTL_MS - APART_MS - 1), run('r', 'p'))).toBe(false)
@@ -195,22 +195,22 @@
 
   test('still clears crashes after its TTL, as long as they are known', () => {
     const quarantine = new CrashQuarantine()
-    quarantine.recordSound(run('s', 'p'), START_MS - TTL_MS + 5 * APART_MS)
+    quarantine.recordProof(run('s', 'p'), START_MS - TTL_MS + 5 * APART_MS)
     crashes([[run('r1', 'p')], [run('r2', 'p')]], quarantine)
     expect(isRefused(quarantine, run('r', 'p'), START_MS + TTL_MS - 1)).toBe(false)
   })
 
   test('is kept while crashes have its key, though many others follow', () => {
     const quarantine = crashes([[run('r1', 'first')], [run('r2', 'first')]])
-    quarantine.recordSound(run('s', 'first'), AFTER_MS)
-    Array.from({ length: 20_000 }, (_, i) => quarantine.recordSound(run(`s${i}`, `p${i}`), AFTER_MS))
+    quarantine.recordProof(run('s', 'first'), AFTER_MS)
+    Array.from({ length: 20_000 }, (_, i) => quarantine.recordProof(run(`s${i}`, `p${i}`), AFTER_MS))
     expect(isRefused(quarantine, run('r', 'first'))).toBe(false)
   })
 
   test('of a part is not displaced by fingerprints of many requests', () => {
     const quarantine = new CrashQuarantine()
-    quarantine.recordSound(run('s', 'first'), START_MS)
-    Array.from({ length: 20_000 }, (_, i) => quarantine.recordSound(run(`s${i}`), START_MS))
+    quarantine.recordProof(run('s', 'first'), START_MS)
+    Array.from({ length: 20_000 }, (_, i) => quarantine.recordProof(run(`s${i}`), START_MS))
     crashes([[run('r1', 'first')], [run('r2', 'first')]], quarantine)
     expect(isRefused(quarantine, run('r', 'first'))).toBe(false)
   })
--- a/packages/core/src/__tests__/unit/gateway/JaymillCrashReport.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillCrashReport.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, test } from 'vitest'
 import { mergeCrashEvidence, toCrashEvidence } from '../../../gateway/JaymillCrashEvidence.js'
 import { CrashLog } from '../../../gateway/JaymillCrashLog.js'
-import { SoundKeys } from '../../../gateway/JaymillSoundKeys.js'
+import { ProvenKeyCache } from '../../../gateway/JaymillProvenKeyCache.js'
 import { CrashQuarantine, CrashReport, RunKeys } from '../../../index.js'
 
 const NOW_MS = 1_000_000
@@ -26,7 +26,7 @@
   }
 
   sound (keys: RunKeys, atMs: number): void {
-    this.quarantine.recordSound(keys, atMs + this._offsetMs)
+    this.quarantine.recordProof(keys, atMs + this._offsetMs)
   }
 
   report (atMs: number): CrashReport {
@@ -111,10 +111,10 @@
 
   test('refuse a part of which each has seen only one crash', () => {
     const [a, b, c] = createHosts(3) as [TestHost, TestHost, TestHost]
-    a.crash('e1', 0, run('r1', 'first', 'deadly'))
-    b.crash('e2', APART_MS, run('r2', 'first', 'deadly'))
+    a.crash('e1', 0, run('r1', 'first', 'poison'))
+    b.crash('e2', APART_MS, run('r2', 'first', 'poison'))
     exchange([a, b, c], 2 * APART_MS)
-    expect([a, b, c].map(host => host.refused(run('r3', 'first', 'deadly'), 3 * APART_MS))).toEqual(['deadly', 'deadly', 'deadly'])
+    expect([a, b, c].map(host => host.refused(run('r3', 'first', 'poison'), 3 * APART_MS))).toEqual(['poison', 'poison', 'poison'])
     expect([a, b, c].map(host => host.refused(run('r3', 'first'), 3 * APART_MS))).toEqual([undefined, undefined, undefined])
   })
 
@@ -127,16 +127,16 @@
 
   test('correct the quarantine of a shared part when another host knows what ran beside it', () => {
     const [a, b, c] = createHosts(3) as [TestHost, TestHost, TestHost]
-    a.crash('e1', 0, run('r1', 'first'), run('r2', 'first', 'deadly'))
-    a.crash('e2', APART_MS, run('r3', 'first'), run('r4', 'first', 'deadly'))
+    a.crash('e1', 0, run('r1', 'first'), run('r2', 'first', 'poison'))
+    a.crash('e2', APART_MS, run('r3', 'first'), run('r4', 'first', 'poison'))
     a.crash('e3', 2 * APART_MS, run('r5', 'first'))
-    b.crash('e3', 2 * APART_MS, run('r6', 'first', 'deadly'))
+    b.crash('e3', 2 * APART_MS, run('r6', 'first', 'poison'))
     expect(a.refused(run('r', 'first'), 3 * APART_MS)).toBe('first')
     b.merge(a.report(3 * APART_MS), 3 * APART_MS)
     c.merge(a.report(3 * APART_MS), 3 * APART_MS)
     exchange([a, b, c], 4 * APART_MS)
     expect([a, b, c].map(host => host.refused(run('r', 'first'), 5 * APART_MS))).toEqual([undefined, undefined, undefined])
-    expect([a, b, c].map(host => host.refused(run('r', 'deadly'), 5 * APART_MS))).toEqual(['deadly', 'deadly', 'deadly'])
+    expect([a, b, c].map(host => host.refused(run('r', 'poison'), 5 * APART_MS))).toEqual(['poison', 'poison', 'poison'])
   })
 
   test('lift a quarantine after a late proof at one of them, and old reports do not restore it', () => {
@@ -203,9 +203,9 @@
 
   function withAges (report: CrashReport, addedMs: number): unknown {
     const older = (entry: readonly unknown[]): readonly unknown[] => entry.with(1, Number(entry[1]) + addedMs)
-    const { crashes, quarantined, soundParts, soundRequests } = report
+    const { crashes, quarantined, provenParts, provenRequests } = report
     const olderQuarantined = quarantined.map(([key, ageMs, ofKey]) => [key, ageMs + addedMs, ofKey.map(older)])
-    return { crashes: crashes.map(older), quarantined: olderQuarantined, soundParts: soundParts.map(older), soundRequests: soundRequests.map(older) }
+    return { crashes: crashes.map(older), quarantined: olderQuarantined, provenParts: provenParts.map(older), provenRequests: provenRequests.map(older) }
   }
 
   test('is new once, also with other ages', () => {
@@ -224,9 +224,9 @@
     expect(quarantine.merge({ crashes: [['e', 0, [['r1', [[1, 'q']]]]]] }, NOW_MS)).toBe(true)
     expect(quarantine.merge({ crashes: [['e', 0, [['r2', []]]]] }, NOW_MS)).toBe(true)
     expect(quarantine.merge({ crashes: [['f', 0, [['r2', []]]]] }, NOW_MS)).toBe(true)
-    expect(quarantine.merge({ soundParts: [['p', 10]] }, NOW_MS)).toBe(true)
-    expect(quarantine.merge({ soundRequests: [['r1', 10]] }, NOW_MS)).toBe(true)
-    expect(quarantine.merge({ soundParts: [['p', 5]], soundRequests: [['r1', 5]] }, NOW_MS)).toBe(false)
+    expect(quarantine.merge({ provenParts: [['p', 10]] }, NOW_MS)).toBe(true)
+    expect(quarantine.merge({ provenRequests: [['r1', 10]] }, NOW_MS)).toBe(true)
+    expect(quarantine.merge({ provenParts: [['p', 5]], provenRequests: [['r1', 5]] }, NOW_MS)).toBe(false)
   })
 
   test('of a quarantined key suffices for refusing it', () => {
@@ -265,9 +265,9 @@
   ].map(entry => [entry]))('ignores the malformed proof %j', entry => {
     const quarantine = new CrashQuarantine()
     quarantine.merge(createReport(), NOW_MS)
-    expect(quarantine.merge({ soundParts: [entry], soundRequests: entry }, NOW_MS)).toBe(false)
+    expect(quarantine.merge({ provenParts: [entry], provenRequests: entry }, NOW_MS)).toBe(false)
     expect(quarantine.quarantined(run('r', 'p'), NOW_MS)).toBe('p')
-    expect(quarantine.merge({ soundParts: [entry, ['p', 0]] }, NOW_MS)).toBe(true)
+    expect(quarantine.merge({ provenParts: [entry, ['p', 0]] }, NOW_MS)).toBe(true)
     expect(quarantine.quarantined(run('r', 'p'), NOW_MS)).toBeUndefined()
   })
 })
@@ -280,16 +280,16 @@
   const arbitraryReport = fc.oneof(fc.anything(), fc.record({
     crashes: fc.oneof(fc.array(arbitraryCrash), fc.anything()),
     quarantined: fc.oneof(fc.array(fc.tuple(arbitraryKey, arbitraryAge, fc.array(arbitraryCrash))), fc.anything()),
-    soundParts: fc.oneof(fc.array(fc.tuple(arbitraryKey, arbitraryAge)), fc.anything()),
-    soundRequests: fc.oneof(fc.array(fc.tuple(arbitraryKey, arbitraryAge)), fc.anything())
+    provenParts: fc.oneof(fc.array(fc.tuple(arbitraryKey, arbitraryAge)), fc.anything()),
+    provenRequests: fc.oneof(fc.array(fc.tuple(arbitraryKey, arbitraryAge)), fc.anything())
   }))
 
-  function expectBounded ({ crashes, quarantined, soundParts, soundRequests }: CrashReport): void {
+  function expectBounded ({ crashes, quarantined, provenParts, provenRequests }: CrashReport): void {
     const allCrashes = [...crashes, ...quarantined.flatMap(([,, ofKey]) => ofKey)]
     const runs = allCrashes.map(([,, ofCrash]) => ofCrash)
     expect(crashes.length).toBeLessThanOrEqual(8)
     expect(quarantined.length).toBeLessThanOrEqual(16)
-    expect(soundParts.length + soundRequests.length).toBeLessThanOrEqual(16)
+    expect(provenParts.length + provenRequests.length).toBeLessThanOrEqual(16)
     quarantined.forEach(([,, ofKey]) => expect(ofKey.length).toBeLessThanOrEqual(3))
     runs.forEach(ofCrash => expect(ofCrash.length).toBeLessThanOrEqual(8))
     runs.flat().forEach(([, parts]) => expect(parts.length).toBeLessThanOrEqual(6))
@@ -307,7 +307,7 @@
   test('hold for many crashes with many runs and parts, and the newest crashes are reported first', () => {
     const quarantine = new CrashQuarantine()
     const parts = Array.from({ length: 20 }, (_, i) => `shared${i}`)
-    quarantine.recordSound(run('s', ...parts), NOW_MS)
+    quarantine.recordProof(run('s', ...parts), NOW_MS)
     Array.from({ length: 300 }, (_, i) => quarantine.recordCrash({
       id: `e${i}`,
       runs: Array.from({ length: 20 }, (_, j) => run(`r${i}-${j}`, ...parts, ...Array.from({ length: 10 }, (_, k) => `p${i}-${j}-${k}`)))
@@ -316,18 +316,18 @@
     expectBounded(report)
     expect(report.crashes.map(([id]) => id)).toEqual(['e299', 'e298', 'e297', 'e296', 'e295', 'e294', 'e293', 'e292'])
     expect(report.crashes.every(([,, runs]) => runs.length === 8 && runs.every(([, ofRun]) => ofRun.length === 6))).toBe(true)
-    expect(report.soundParts.length).toBe(16)
+    expect(report.provenParts.length).toBe(16)
   })
 
   test('keep the key that occurs in most crashes in the report', () => {
     const [host] = createHosts(1) as [TestHost]
     const crowd = (crash: number): readonly RunKeys[] => Array.from({ length: 20 }, (_, i) => run(`a${crash}-${i}`, `x${crash}-${i}`))
     const many = (crash: number): readonly string[] => Array.from({ length: 10 }, (_, i) => `y${crash}-${i}`)
-    host.crash('e1', 0, ...crowd(1), run('z1', 'deadly', ...many(1)))
-    host.crash('e2', APART_MS, ...crowd(2), run('z2', 'deadly', ...many(2)))
+    host.crash('e1', 0, ...crowd(1), run('z1', 'poison', ...many(1)))
+    host.crash('e2', APART_MS, ...crowd(2), run('z2', 'poison', ...many(2)))
     const { crashes } = host.report(2 * APART_MS)
     const reportedParts = crashes.map(([,, runs]) => runs.flatMap(([, parts]) => parts.map(([, part]) => part)))
-    expect(reportedParts.map(ofCrash => ofCrash.includes('deadly'))).toEqual([true, true])
+    expect(reportedParts.map(ofCrash => ofCrash.includes('poison'))).toEqual([true, true])
   })
 
   test('report crashes that nothing explains before newer ones that a part explains', () => {
@@ -356,7 +356,7 @@
   })
 
   test('limit the proven keys, even if all are pinned', () => {
-    const sound = new SoundKeys()
+    const sound = new ProvenKeyCache()
     Array.from({ length: 10_000 }, (_, i) => sound.add(`a${i}`, i, new Set()))
     expect(sound.size).toBe(4_096)
     expect([sound.provenMs('a0'), sound.provenMs('a9999')]).toEqual([undefined, 9_999])
--- a/packages/core/src/gateway/JaymillCrashQuarantine.ts
+++ b/packages/core/src/gateway/JaymillCrashQuarantine.ts
@@ -1,13 +1,13 @@
 import { CRASH_REPORT_MAX_AGE_MS } from './constants.js'
 import { toCrashEvidence } from './JaymillCrashEvidence.js'
 import { CrashLog } from './JaymillCrashLog.js'
-import { CrashReport, ReportedCrash, ReportedPart, ReportedRun, ReportedSoundKey } from './JaymillCrashReport.js'
+import { CrashReport, ReportedCrash, ReportedPart, ReportedRun, ReportedProvenKey } from './JaymillCrashReport.js'
 import { buildCrashReport } from './JaymillCrashReportBuilder.js'
 import { parseCrashReport } from './JaymillCrashReportParser.js'
 import { CrashTimes, KeyCrashTimes, toCrashTimes } from './JaymillCrashTimes.js'
 import { decideQuarantine, QuarantineDecision } from './JaymillQuarantineDecision.js'
 import { RunKeys } from './JaymillRunKeys.js'
-import { isCleared, SoundKeys } from './JaymillSoundKeys.js'
+import { isCleared, ProvenKeyCache } from './JaymillProvenKeyCache.js'
 
 /** Confirmed crash of an endpoint. */
 export interface CrashObservation {
@@ -19,12 +19,12 @@
 
 /**
  * Decides which requests are refused because they, or a part of their prompts, crash the engines that begin a response to them.
- * Hosts share evidence, not decisions: crashes with the keys that were starting there, and proofs that keys are sound. Reports
+ * Hosts share evidence, not decisions: crashes with the keys that were starting there, and proofs that keys are harmless. Reports
  * of crashes merge as in a state-based replicated data type (Shapiro et al. 2011), so loss, repetition and order do not matter.
  */
 export class CrashQuarantine {
   private readonly _log = new CrashLog()
-  private readonly _proven = { requests: new SoundKeys(), parts: new SoundKeys() }
+  private readonly _proven = { requests: new ProvenKeyCache(), parts: new ProvenKeyCache() }
   /** Derived from the log when needed, as is the decision. */
   private _cachedTimes?: CrashTimes
   private _decision?: QuarantineDecision
@@ -43,14 +43,14 @@
   }
 
   /**
-   * Records that a run completed or got well past its first event. Crashes up to `SOUND_TTL_MS` later do not count against its
+   * Records that a run completed or got well past its first event. Crashes up to `PROOF_TTL_MS` later do not count against its
    * keys, nor do earlier ones.
    *
    * @param keys - Keys of the run.
    * @param nowMs - Monotonic time in milliseconds.
    * @returns Whether it clears a key of a known crash, so that the peers should be told.
    */
-  recordSound ({ request, parts }: RunKeys, nowMs: number): boolean {
+  recordProof ({ request, parts }: RunKeys, nowMs: number): boolean {
     const clearsRequest = this._addProof(this._proven.requests, this._times.requests, request, nowMs)
     const clearsPart = parts.map(part => this._addProof(this._proven.parts, this._times.parts, part, nowMs))
     return clearsRequest || clearsPart.includes(true)
@@ -97,10 +97,10 @@
    * @returns Whether it contained a crash, run or proof that was unknown. Ages alone are nothing new.
    */
   merge (report: unknown, nowMs: number): boolean {
-    const { crashes, quarantined, soundParts, soundRequests } = parseCrashReport(report)
+    const { crashes, quarantined, provenParts, provenRequests } = parseCrashReport(report)
     const hasNewCrash = this._addCrashes([...crashes, ...quarantined.flatMap(([,, ofKey]) => ofKey)], nowMs)
-    const hasNewPart = this._mergeProofs(this._proven.parts, this._times.parts, soundParts, nowMs)
-    const hasNewRequest = this._mergeProofs(this._proven.requests, this._times.requests, soundRequests, nowMs)
+    const hasNewPart = this._mergeProofs(this._proven.parts, this._times.parts, provenParts, nowMs)
+    const hasNewRequest = this._mergeProofs(this._proven.requests, this._times.requests, provenRequests, nowMs)
     return hasNewCrash || hasNewPart || hasNewRequest
   }
 
@@ -111,7 +111,7 @@
     return changes.some(({ isNew }) => isNew)
   }
 
-  private _mergeProofs (proven: SoundKeys, times: KeyCrashTimes, proofs: readonly ReportedSoundKey[], nowMs: number): boolean {
+  private _mergeProofs (proven: ProvenKeyCache, times: KeyCrashTimes, proofs: readonly ReportedProvenKey[], nowMs: number): boolean {
     const isNew = proofs.map(([key, ageMs]) => {
       const provenMs = nowMs - ageMs
       if (proven.provenMs(key) !== undefined && !clearsMore(proven, times, key, provenMs)) return false
@@ -121,7 +121,7 @@
     return isNew.includes(true)
   }
 
-  private _addProof (proven: SoundKeys, times: KeyCrashTimes, key: string, provenMs: number): boolean {
+  private _addProof (proven: ProvenKeyCache, times: KeyCrashTimes, key: string, provenMs: number): boolean {
     const clears = clearsMore(proven, times, key, provenMs)
     proven.add(key, provenMs, times)
     if (clears) this._decision = undefined
@@ -148,7 +148,7 @@
   }
 }
 
-function clearsMore (proven: SoundKeys, times: KeyCrashTimes, key: string, provenMs: number): boolean {
+function clearsMore (proven: ProvenKeyCache, times: KeyCrashTimes, key: string, provenMs: number): boolean {
   const uncleared = times.get(key)?.filter(crashMs => !proven.clears(key, crashMs)) ?? []
   return uncleared.some(crashMs => isCleared(crashMs, provenMs))
 }
--- a/packages/core/src/gateway/JaymillCrashReport.ts
+++ b/packages/core/src/gateway/JaymillCrashReport.ts
@@ -11,7 +11,7 @@
 export type ReportedQuarantine = readonly [key: string, ageMs: number, crashes: readonly ReportedCrash[]]
 
 /** Proven key, and the time since its latest proof in milliseconds. */
-export type ReportedSoundKey = readonly [key: string, ageMs: number]
+export type ReportedProvenKey = readonly [key: string, ageMs: number]
 
 /**
  * What a host tells its peers about crashes. It carries ages instead of times because hosts share no clock. It is complete by
@@ -22,8 +22,8 @@
   readonly crashes: readonly ReportedCrash[]
   /** Quarantined parts and requests, the most recent first. */
   readonly quarantined: readonly ReportedQuarantine[]
-  /** Parts of the crashes that are proven sound, those in the most crashes first. */
-  readonly soundParts: readonly ReportedSoundKey[]
-  /** Requests of the crashes that are proven sound, those in the most crashes first. */
-  readonly soundRequests: readonly ReportedSoundKey[]
+  /** Parts of the crashes that are proven harmless, those in the most crashes first. */
+  readonly provenParts: readonly ReportedProvenKey[]
+  /** Requests of the crashes that are proven harmless, those in the most crashes first. */
+  readonly provenRequests: readonly ReportedProvenKey[]
 }
--- a/packages/core/src/gateway/JaymillCrashReportBuilder.ts
+++ b/packages/core/src/gateway/JaymillCrashReportBuilder.ts
@@ -1,13 +1,13 @@
 import {
   CRASH_REPORT_MAX_AGE_MS, MAX_PROOF_AGE_MS, MAX_REPORTED_CRASHES, MAX_REPORTED_PARTS, MAX_REPORTED_QUARANTINED, MAX_REPORTED_RUNS,
-  MAX_REPORTED_SOUND
+  MAX_REPORTED_PROVEN
 } from './constants.js'
 import { compareKeys, CrashEvidence, PartDepths } from './JaymillCrashEvidence.js'
-import { CrashReport, ReportedCrash, ReportedPart, ReportedQuarantine, ReportedRun, ReportedSoundKey } from './JaymillCrashReport.js'
+import { CrashReport, ReportedCrash, ReportedPart, ReportedQuarantine, ReportedRun, ReportedProvenKey } from './JaymillCrashReport.js'
 import { CrashTimes, KeyCrashTimes } from './JaymillCrashTimes.js'
 import { ProvenKeys, QuarantineDecision, Sighting } from './JaymillQuarantineDecision.js'
 import { selectWitnesses } from './JaymillQuarantineWitnesses.js'
-import { SoundKeys } from './JaymillSoundKeys.js'
+import { ProvenKeyCache } from './JaymillProvenKeyCache.js'
 
 /** State that a report is built from. */
 export interface CrashReportSource {
@@ -27,13 +27,13 @@
  * @returns The report, within its bounds.
  */
 export function buildCrashReport (source: CrashReportSource, nowMs: number): CrashReport {
-  const soundParts = reportSound(source.proven.parts, source.times.parts, nowMs).slice(0, MAX_REPORTED_SOUND)
-  const soundRequests = reportSound(source.proven.requests, source.times.requests, nowMs)
+  const provenParts = reportProven(source.proven.parts, source.times.parts, nowMs).slice(0, MAX_REPORTED_PROVEN)
+  const provenRequests = reportProven(source.proven.requests, source.times.requests, nowMs)
   return {
     crashes: reportCrashes(source, nowMs),
     quarantined: reportQuarantined(source.decision, nowMs),
-    soundParts,
-    soundRequests: soundRequests.slice(0, MAX_REPORTED_SOUND - soundParts.length)
+    provenParts,
+    provenRequests: provenRequests.slice(0, MAX_REPORTED_PROVEN - provenParts.length)
   }
 }
 
@@ -56,7 +56,7 @@
     .slice(0, MAX_REPORTED_RUNS)
 }
 
-function reportParts (crash: CrashEvidence, parts: PartDepths, proven: SoundKeys, times: KeyCrashTimes): readonly ReportedPart[] {
+function reportParts (crash: CrashEvidence, parts: PartDepths, proven: ProvenKeyCache, times: KeyCrashTimes): readonly ReportedPart[] {
   const crashes = (part: string): number => times.get(part)?.length ?? 0
   return [...parts]
     .map(([part, depth]): ReportedPart => [depth, part])
@@ -90,10 +90,10 @@
   return [key, ageMs, crashes]
 }
 
-function reportSound (proven: SoundKeys, times: KeyCrashTimes, nowMs: number): readonly ReportedSoundKey[] {
+function reportProven (proven: ProvenKeyCache, times: KeyCrashTimes, nowMs: number): readonly ReportedProvenKey[] {
   const crashes = (key: string): number => times.get(key)?.length ?? 0
   return [...times.keys()]
-    .map((key): ReportedSoundKey => [key, nowMs - (proven.provenMs(key) ?? Number.NEGATIVE_INFINITY)])
+    .map((key): ReportedProvenKey => [key, nowMs - (proven.provenMs(key) ?? Number.NEGATIVE_INFINITY)])
     .filter(([, ageMs]) => ageMs < MAX_PROOF_AGE_MS)
     .sort(([a, ageA], [b, ageB]) => crashes(b) - crashes(a) || ageA - ageB || compareKeys(a, b))
 }
--- a/packages/core/src/gateway/JaymillCrashReportParser.ts
+++ b/packages/core/src/gateway/JaymillCrashReportParser.ts
@@ -1,8 +1,8 @@
 import {
   CRASH_REPORT_MAX_AGE_MS, MAX_PROOF_AGE_MS, MAX_REPORTED_CRASHES, MAX_REPORTED_DEPTH, MAX_REPORTED_KEY_LENGTH, MAX_REPORTED_PARTS,
-  MAX_REPORTED_QUARANTINED, MAX_REPORTED_RUNS, MAX_REPORTED_SOUND, MAX_REPORTED_WITNESSES
+  MAX_REPORTED_QUARANTINED, MAX_REPORTED_RUNS, MAX_REPORTED_PROVEN, MAX_REPORTED_WITNESSES
 } from './constants.js'
-import { CrashReport, ReportedCrash, ReportedPart, ReportedQuarantine, ReportedRun, ReportedSoundKey } from './JaymillCrashReport.js'
+import { CrashReport, ReportedCrash, ReportedPart, ReportedQuarantine, ReportedRun, ReportedProvenKey } from './JaymillCrashReport.js'
 
 /**
  * Reads a report of a peer. Malformed entries are left out, and so are those beyond the bounds of a report.
@@ -11,12 +11,12 @@
  * @returns A report with the well-formed entries.
  */
 export function parseCrashReport (value: unknown): CrashReport {
-  const { crashes, quarantined, soundParts, soundRequests } = toRecord(value)
+  const { crashes, quarantined, provenParts, provenRequests } = toRecord(value)
   return {
     crashes: parseEach(crashes, MAX_REPORTED_CRASHES, parseCrash),
     quarantined: parseEach(quarantined, MAX_REPORTED_QUARANTINED, parseQuarantine),
-    soundParts: parseEach(soundParts, MAX_REPORTED_SOUND, parseSoundKey),
-    soundRequests: parseEach(soundRequests, MAX_REPORTED_SOUND, parseSoundKey)
+    provenParts: parseEach(provenParts, MAX_REPORTED_PROVEN, parseSoundKey),
+    provenRequests: parseEach(provenRequests, MAX_REPORTED_PROVEN, parseSoundKey)
   }
 }
 
@@ -49,7 +49,7 @@
   return isKey(key) && isAge(ageMs, CRASH_REPORT_MAX_AGE_MS) ? [key, ageMs, parseEach(crashes, MAX_REPORTED_WITNESSES, parseCrash)] : undefined
 }
 
-function parseSoundKey ([key, ageMs]: readonly unknown[]): ReportedSoundKey | undefined {
+function parseSoundKey ([key, ageMs]: readonly unknown[]): ReportedProvenKey | undefined {
   return isKey(key) && isAge(ageMs, MAX_PROOF_AGE_MS) ? [key, ageMs] : undefined
 }
 
--- a/packages/core/src/gateway/JaymillSoundKeys.ts
+++ b/packages/core/src/gateway/JaymillProvenKeyCache.ts
@@ -1,4 +1,4 @@
-import { MAX_SOUND_KEYS, SOUND_TTL_MS } from './constants.js'
+import { MAX_PROVEN_KEYS, PROOF_TTL_MS } from './constants.js'
 
 /** Set of keys, such as a `Set` or the keys of a `Map`. */
 export interface KeySet {
@@ -10,7 +10,7 @@
 }
 
 /** Keys of requests that engines have run without crashing, with the time of the latest proof: bounded state. */
-export class SoundKeys {
+export class ProvenKeyCache {
   private readonly _provenMs = new Map<string, number>()
 
   /** Number of keys. */
@@ -28,7 +28,7 @@
   add (key: string, provenMs: number, pinned: KeySet): void {
     const latestMs = Math.max(provenMs, this._provenMs.get(key) ?? provenMs)
     this._touch(key, latestMs)
-    if (this._provenMs.size > MAX_SOUND_KEYS) this._removeOldest(pinned)
+    if (this._provenMs.size > MAX_PROVEN_KEYS) this._removeOldest(pinned)
   }
 
   /**
@@ -76,5 +76,5 @@
  * @returns Whether the crash does not count against the proven key. Crashes before the proof never do.
  */
 export function isCleared (crashMs: number, provenMs: number): boolean {
-  return crashMs < provenMs + SOUND_TTL_MS
+  return crashMs < provenMs + PROOF_TTL_MS
 }
--- a/packages/core/src/gateway/JaymillQuarantineDecision.ts
+++ b/packages/core/src/gateway/JaymillQuarantineDecision.ts
@@ -2,7 +2,7 @@
   PART_QUARANTINE_INCIDENTS, PART_QUARANTINE_INCIDENTS_OF_DIFFERENT_REQUESTS, REQUEST_QUARANTINE_INCIDENTS, SAME_INCIDENT_MS
 } from './constants.js'
 import { compareKeys, CrashEvidence } from './JaymillCrashEvidence.js'
-import { SoundKeys } from './JaymillSoundKeys.js'
+import { ProvenKeyCache } from './JaymillProvenKeyCache.js'
 
 /** A key in a run that was starting at an endpoint when it crashed. */
 export interface Sighting {
@@ -29,8 +29,8 @@
 
 /** Proven keys, which crashes do not count against. */
 export interface ProvenKeys {
-  readonly requests: SoundKeys
-  readonly parts: SoundKeys
+  readonly requests: ProvenKeyCache
+  readonly parts: ProvenKeyCache
 }
 
 /** A part that may be the cause of crashes, with those of its sightings that no other part explains. */
--- a/packages/core/src/gateway/JaymillQuarantineProbes.ts
+++ b/packages/core/src/gateway/JaymillQuarantineProbes.ts
@@ -2,7 +2,7 @@
 
 /**
  * Lets a request through from time to time while one quarantined key refuses a large share of all requests. Such a key is more
- * likely to be shared by sound requests than to be the cause, and while all of them are refused, none could prove it sound.
+ * likely to be shared by harmless requests than to be the cause, and while all of them are refused, none could prove it sound.
  */
 export class QuarantineProbes {
   /** Keys that refused the latest requests; `undefined` for those that were accepted. */
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -190,13 +190,13 @@
 export const QUARANTINE_TTL_MS = 600_000
 
 /** Time after a proof in which crashes do not count against the proven key, in milliseconds; engines and models may change later. */
-export const SOUND_TTL_MS = 600_000
+export const PROOF_TTL_MS = 600_000
 
 /** Age up to which hosts report crashes, in milliseconds: less than the TTL, so that no peer revives those that have expired. */
 export const CRASH_REPORT_MAX_AGE_MS = 540_000
 
 /** Age of a proof that no longer clears any crash, in milliseconds: the proof's TTL and that of the last crash within it. */
-export const MAX_PROOF_AGE_MS = SOUND_TTL_MS + QUARANTINE_TTL_MS
+export const MAX_PROOF_AGE_MS = PROOF_TTL_MS + QUARANTINE_TTL_MS
 
 /** Longest time between crashes with a common cause outside the engines, such as a rack failure, in milliseconds. */
 export const SAME_INCIDENT_MS = 250
@@ -213,7 +213,7 @@
 /** Latest requests of a host among which a quarantined key must refuse a large share to be probed. */
 export const PROBE_WINDOW_REQUESTS = 32
 
-/** Share of these requests above which a key is more likely shared by sound requests than the cause of crashes. */
+/** Share of these requests above which a key is more likely shared by harmless requests than the cause of crashes. */
 export const PROBE_MIN_SHARE = 0.5
 
 /** Interval between the probes of all hosts together, in milliseconds: longer than a proof takes. */
@@ -228,8 +228,8 @@
 /** Maximum number of prompt parts kept of one run; the deepest are the most specific. */
 export const MAX_STORED_PARTS = 32
 
-/** Maximum number of parts, and of requests, that are remembered as proven sound; limits memory. */
-export const MAX_SOUND_KEYS = 4_096
+/** Maximum number of parts, and of requests, that are remembered as proven harmless; limits memory. */
+export const MAX_PROVEN_KEYS = 4_096
 
 /** Maximum number of crashes in a report; keeps the report within a datagram. */
 export const MAX_REPORTED_CRASHES = 8
@@ -247,7 +247,7 @@
 export const MAX_REPORTED_WITNESSES = 3
 
 /** Maximum number of proven keys in a report; keeps the report within a datagram. */
-export const MAX_REPORTED_SOUND = 16
+export const MAX_REPORTED_PROVEN = 16
 
 /** Maximum length of a crash identifier or key from a peer, in UTF-16 code units; limits memory. */
 export const MAX_REPORTED_KEY_LENGTH = 256
--- a/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
@@ -131,12 +131,12 @@
   await untilAll(({ heartbeats }) => heartbeats.livePeers.length === fleet.length - 1, 8_000)
   const now = (): number => performance.now()
   const [first, second] = [fleet[11], fleet[28]]
-  first?.quarantine.recordCrash({ id: 'e1@1', runs: [{ request: 'r1', parts: ['shared', 'deadly'] }] }, now())
+  first?.quarantine.recordCrash({ id: 'e1@1', runs: [{ request: 'r1', parts: ['shared', 'poison'] }] }, now())
   first?.heartbeats.evidenceAdded()
   await sleep(300)
-  second?.quarantine.recordCrash({ id: 'e2@1', runs: [{ request: 'r2', parts: ['shared', 'deadly'] }, { request: 'r3', parts: ['shared', 'other'] }] }, now())
+  second?.quarantine.recordCrash({ id: 'e2@1', runs: [{ request: 'r2', parts: ['shared', 'poison'] }, { request: 'r3', parts: ['shared', 'other'] }] }, now())
   second?.heartbeats.evidenceAdded()
-  const knows = ({ quarantine }: FleetHost): boolean => quarantine.quarantined({ request: 'r4', parts: ['shared', 'deadly'] }, now()) === 'deadly'
+  const knows = ({ quarantine }: FleetHost): boolean => quarantine.quarantined({ request: 'r4', parts: ['shared', 'poison'] }, now()) === 'poison'
   expect(await untilAll(knows, 5_000)).toBeLessThan(1_000)
   expect(fleet.every(({ quarantine }) => quarantine.quarantined({ request: 'r5', parts: ['shared', 'other'] }, now()) === undefined)).toBe(true)
 }, 30_000)
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -71,7 +71,7 @@
   abortUnfinished (): void {
     const { log, clock } = this._context
     this._running.forEach(({ id, res, arrivedMs, abort }) => {
-      log.request(id, 'cut by the stop', { started: res.headersSent, ms: Math.round(clock.nowMs() - arrivedMs) })
+      log.request(id, 'interrupted by the stop', { started: res.headersSent, ms: Math.round(clock.nowMs() - arrivedMs) })
       abort.abort(AbortReason.Stopped)
     })
   }
--- a/packages/gateway/src/forwarding/JaymillCrashGuard.ts
+++ b/packages/gateway/src/forwarding/JaymillCrashGuard.ts
@@ -2,7 +2,7 @@
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
-import { QUARANTINE_RETRY_AFTER_MS, SOUND_RUN_MS } from './constants.js'
+import { QUARANTINE_RETRY_AFTER_MS, PROOF_RUN_MS } from './constants.js'
 import { CrashDetector, type DetectedCrash } from './JaymillCrashDetector.js'
 
 /** One run of a request at an endpoint. */
@@ -119,9 +119,9 @@
     const nowMs = this._context.clock.nowMs()
     run.firstEventMs ??= nowMs
     run.lastEventMs = nowMs
-    if (run.proven === true || nowMs - run.firstEventMs < SOUND_RUN_MS) return
+    if (run.proven === true || nowMs - run.firstEventMs < PROOF_RUN_MS) return
     run.proven = true
-    this._recordSound(run)
+    this._recordProof(run)
   }
 
   /**
@@ -131,8 +131,8 @@
    * @param endedWithConnection - Whether only the end of its connection marks its end, which a crash looks like.
    */
   completed (run: TrackedRun, endedWithConnection: boolean): void {
-    if (endedWithConnection) this._checkEndpoint(run, () => this._recordSound(run))
-    else this._recordSound(run)
+    if (endedWithConnection) this._checkEndpoint(run, () => this._recordProof(run))
+    else this._recordProof(run)
   }
 
   /**
@@ -167,9 +167,9 @@
     this._newEvidence()
   }
 
-  private _recordSound ({ keys }: TrackedRun): void {
+  private _recordProof ({ keys }: TrackedRun): void {
     const { quarantine, clock } = this._context
-    if (quarantine.recordSound(keys, clock.nowMs())) this._newEvidence()
+    if (quarantine.recordProof(keys, clock.nowMs())) this._newEvidence()
   }
 
   private _newEvidence (): void {
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -80,7 +80,7 @@
 export const RUN_START_MS = 200
 
 /** Time over which events of a run must have arrived to prove that its request does not crash endpoints, in milliseconds. */
-export const SOUND_RUN_MS = 500
+export const PROOF_RUN_MS = 500
 
 /** Time after which the caller of a quarantined request may retry, in milliseconds; a proof by then would lift the quarantine. */
 export const QUARANTINE_RETRY_AFTER_MS = 60_000
--- a/packages/gateway/src/peers/JaymillHostMessage.ts
+++ b/packages/gateway/src/peers/JaymillHostMessage.ts
@@ -95,8 +95,8 @@
 ]
 /** Follows the work, since hosts of earlier versions refuse further elements of a message but ignore them there. */
 type WireCrashes = readonly [
-  crashes: CrashReport['crashes'], quarantined: CrashReport['quarantined'], soundParts: CrashReport['soundParts'],
-  soundRequests: CrashReport['soundRequests']
+  crashes: CrashReport['crashes'], quarantined: CrashReport['quarantined'], provenParts: CrashReport['provenParts'],
+  provenRequests: CrashReport['provenRequests']
 ]
 type WireMessage = readonly [
   format: number, from: string, zone: string, born: number, seq: number, connected: boolean, ask: boolean, leaving: boolean,
@@ -170,11 +170,11 @@
 function toWireWork (work: ReportedWork, crashes: CrashReport | undefined): WireWork {
   const { scope, part, parts, changing } = work
   const wire = [scope, part, parts, work.load.map(toWireShare), work.directPrefills.map(toWireShare), work.demand.map(toWireDemand), changing] as const
-  return crashes === undefined ? wire : [...wire, [crashes.crashes, crashes.quarantined, crashes.soundParts, crashes.soundRequests]]
+  return crashes === undefined ? wire : [...wire, [crashes.crashes, crashes.quarantined, crashes.provenParts, crashes.provenRequests]]
 }
 
-function toCrashReport ([crashes, quarantined, soundParts, soundRequests]: WireCrashes): CrashReport {
-  return { crashes, quarantined, soundParts, soundRequests }
+function toCrashReport ([crashes, quarantined, provenParts, provenRequests]: WireCrashes): CrashReport {
+  return { crashes, quarantined, provenParts, provenRequests }
 }
 
 function toWireShare ({ endpointId, requests, tokens }: LoadShare): WireShare {
