Treat a response without framing as possibly truncated in the daemon

What callers saw: a service's response with neither a length nor chunks that was cut off, by a reset or by the end of its connection, arrived as a complete chunked response. The owner of a key stored it, and resends got the truncated body again with status 200. Over HTTP/1.0, each response without a length that broke off after its start ended regularly.

Cause: undici reports a body without framing as complete when its connection is reset. `HttpServiceClient` drops the framing headers, and `pipeResponse`, `relayResponse` and `forwardArrival` let Node.js choose chunks. `sendProblem`, the timeout of a caller that reads nothing and the immediate stop of a host close the connection, which completes a response without chunks.

Change: - `ResetTracker` (adapters) fails a response that ends while its connection is being reset. `ServiceResponse.closeDelimited` tells whether only the connection marks the end; status 204 and 304, responses to HEAD and length 0 do not count. - `writeRelayedHead` keeps that framing towards callers. Such a response is not stored for replay: the resend gets `already-ran`. - Between hosts it has chunks, so that the entry host knows a broken one by its last chunk, also over TLS, where Node.js cannot reset a connection. The header `x-jaymill-close-delimited` tells the entry host which framing the caller gets. - `abortResponse` resets responses that end with their connection: in `sendProblem` after 50 ms, for callers that read nothing and when the host stops without delay. A service's stream of events that breaks off no longer gets an error event: it would end regularly, with the problem inside the event that was cut off. - `isCloseDelimited` and `mayHaveBody` move to core, and the gateway uses them: there, by reading, status 304 no longer counts as a stream that broke off without an event. The tracker and `abortResponse` exist in the gateway too: it may import only core and settings, and core has no sockets or timers.

Ruled out: completions (`TokenStream` requires the last token, a cut prefill is not JSON). A reset between hosts (fails over TLS; as a mutant it fails the reset test of a key owned by the other host).

Remaining: a regular end of the connection cannot be told from completeness. A reset directly after data may be reported as a regular end by libuv, in this host and in callers; a caller that reads nothing finds data and reset together. No test covers peers with TLS, or hosts of different versions: an older entry host ignores the header and sends chunks to the caller.

--- a/packages/adapters/src/endpoints/JaymillEndpointPools.ts
+++ b/packages/adapters/src/endpoints/JaymillEndpointPools.ts
@@ -1,5 +1,6 @@
 import { Client, Pool } from 'undici'
 import { CONNECTION_TTL_MS, CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, MAX_CONNECTIONS } from './constants.js'
+import { ResetTracker } from './JaymillResetTracker.js'
 
 /** Limits of the connections to one endpoint. */
 export interface ConnectionLimits {
@@ -22,6 +23,8 @@
 
 /** Maintains one connection pool for each endpoint. */
 export class EndpointPools {
+  /** Tracks resets of the connections of all pools. */
+  readonly resets = new ResetTracker()
   private readonly _limits: ConnectionLimits
   private readonly _pools = new Map<string, Pool>()
 
@@ -45,7 +48,7 @@
     const pool = new Pool(origin, {
       connections: this._limits.maxConnections,
       pipelining: 1,
-      connect: { timeout: this._limits.connectTimeoutMs },
+      connect: this.resets.connector(this._limits.connectTimeoutMs),
       keepAliveTimeout: this._limits.idleMs,
       keepAliveMaxTimeout: this._limits.idleMs,
       clientTtl: this._limits.ttlMs
--- a/packages/adapters/src/endpoints/JaymillHttpServiceClient.ts
+++ b/packages/adapters/src/endpoints/JaymillHttpServiceClient.ts
@@ -1,5 +1,5 @@
 import { IncomingHttpHeaders } from 'node:http'
-import { JaymillError, RequestOwnerTag } from '@jaymill/core'
+import { isCloseDelimited, JaymillError, mayHaveBody, RequestOwnerTag } from '@jaymill/core'
 import { Dispatcher } from 'undici'
 import { SERVICE_BODY_TIMEOUT_MS, SERVICE_HEADERS_TIMEOUT_MS } from './constants.js'
 import { ConnectionLimits, EndpointPools } from './JaymillEndpointPools.js'
@@ -22,6 +22,9 @@
 export interface ServiceResponse {
   readonly status: number
   readonly headers: IncomingHttpHeaders
+  /** Whether only the end of the connection marks the end of the body, so that a truncated body may look complete. */
+  readonly closeDelimited: boolean
+  /** Fails when the response breaks off, also by a reset of its connection. */
   readonly body: AsyncIterable<Uint8Array>
 }
 
@@ -85,9 +88,8 @@
       return exchange.toError(err, signal, call.url)
     }
     try {
-      const res = await exchange.request(pool, opts)
-      const body = withConvertedErrors(res.body, convertError)
-      return { status: res.statusCode, headers: withoutConnectionHeaders(res.headers), body }
+      const res = await exchange.request(pool.compose(this._pools.resets.interceptor), opts)
+      return toServiceResponse(call, res, withConvertedErrors(res.body, convertError))
     } catch (err) {
       throw convertError(err)
     }
@@ -103,6 +105,13 @@
   }
 }
 
+function toServiceResponse (
+  { method }: ServiceCall, { statusCode: status, headers }: Dispatcher.ResponseData, body: ServiceResponse['body']
+): ServiceResponse {
+  const closeDelimited = mayHaveBody(method, status) && isCloseDelimited(headers)
+  return { status, headers: withoutConnectionHeaders(headers), closeDelimited, body }
+}
+
 async function * withConvertedErrors (
   body: AsyncIterable<Uint8Array>, convert: (err: unknown) => JaymillError
 ): AsyncGenerator<Uint8Array> {
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -1,3 +1,4 @@
+export * from './JaymillBodyFraming.js'
 export * from './JaymillRequestLog.js'
 export * from './JaymillRequestMachine.js'
 export * from './JaymillRequestRecord.js'
--- a/packages/daemon/src/callers/JaymillCallerExchange.ts
+++ b/packages/daemon/src/callers/JaymillCallerExchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { AccountConfig, ErrorKind, RanState, RequestError, RouteConfig } from '@jaymill/core'
 import type { CallerHeaders } from './JaymillCallerRequest.js'
+import { abortResponse } from './JaymillRelayedResponse.js'
 import { deadlineSignal } from './JaymillServiceCall.js'
 
 const MIN_DEADLINE_MS = 1
@@ -58,7 +59,7 @@
     await once(res, 'drain', { signal: AbortSignal.any([signal, stalled.signal]) })
   } catch (err) {
     signal.throwIfAborted()
-    res.destroy()
+    abortResponse(res, 0)
     throw new RequestError(ErrorKind.CallerGone, `the caller has read nothing for ${stallMs} ms`, {
       ran: RanState.Unknown, cause: err
     })
--- a/packages/daemon/src/callers/JaymillCallerServer.ts
+++ b/packages/daemon/src/callers/JaymillCallerServer.ts
@@ -11,6 +11,7 @@
 import { COMPLETION_FORMS, CompletionHandler } from './JaymillCompletionHandler.js'
 import { entryRefusal } from './JaymillEntryRefusal.js'
 import { sendProblem } from './JaymillProblemResponse.js'
+import { abortResponse } from './JaymillRelayedResponse.js'
 import { ServiceHandler } from './JaymillServiceHandler.js'
 
 const KEEP_ALIVE_PROBE_MS = 2_000
@@ -27,6 +28,7 @@
   private readonly _server: Server
   private readonly _completions: CompletionHandler
   private readonly _services: ServiceHandler
+  private readonly _openResponses = new Set<ServerResponse>()
   private _inFlight = 0
   private _onIdle: (() => void) | undefined
 
@@ -76,14 +78,17 @@
     await new Promise<void>(resolve => { this._onIdle = resolve })
   }
 
-  /** Closes the listener and every connection. */
+  /** Closes the listener and every connection, and breaks off the responses in progress. */
   close (): void {
     this._server.close()
+    this._openResponses.forEach(res => abortResponse(res, 0))
     this._server.closeAllConnections()
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     this._inFlight++
+    this._openResponses.add(res)
+    res.once('close', () => this._openResponses.delete(res))
     let requestId: string | undefined
     try {
       const headers = readCallerHeaders(req, randomUUID)
--- a/packages/daemon/src/callers/JaymillProblemResponse.ts
+++ b/packages/daemon/src/callers/JaymillProblemResponse.ts
@@ -1,11 +1,12 @@
 import type { ServerResponse } from 'node:http'
 import { toProblem } from '@jaymill/core'
+import { abortResponse, isRelayed } from './JaymillRelayedResponse.js'
 
 const MS_PER_SECOND = 1_000
 
 /**
- * Responds with a problem document (RFC 9457). An event stream that has already started ends with an error event; any
- * other response that has already started is aborted.
+ * Responds with a problem document (RFC 9457). An event stream of this host that has already started ends with an error event;
+ * any other response that has already started is broken off, so that it does not look complete.
  *
  * @param res - Response to the caller.
  * @param err - Error to report.
@@ -26,9 +27,9 @@
 }
 
 function endWithProblem (res: ServerResponse, problem: string): void {
-  if (String(res.getHeader('content-type')).startsWith('text/event-stream')) {
+  if (!isRelayed(res) && String(res.getHeader('content-type')).startsWith('text/event-stream')) {
     res.end(`event: error\ndata: ${problem}\n\n`)
     return
   }
-  res.destroy()
+  abortResponse(res)
 }
--- a/packages/daemon/src/callers/JaymillServiceHandler.ts
+++ b/packages/daemon/src/callers/JaymillServiceHandler.ts
@@ -7,6 +7,7 @@
 import type { HostContext } from '../JaymillHostContext.js'
 import { runWithRecord } from '../requests/JaymillRunWithRecord.js'
 import { CallerExchange, withDeadline, writeToCaller } from './JaymillCallerExchange.js'
+import { writeRelayedHead } from './JaymillRelayedResponse.js'
 import { callService, forwardedHeaders, reserveServiceSlot, responseHeaders, ServiceRequest } from './JaymillServiceCall.js'
 
 /** Serves requests to plain services. */
@@ -106,7 +107,8 @@
 async function pipeResponse (
   res: ServerResponse, response: ServiceResponse, requestId: string, stallMs: number, signal: AbortSignal
 ): Promise<void> {
-  res.writeHead(response.status, { ...responseHeaders(response.headers), 'X-Request-Id': requestId })
+  const { status, closeDelimited } = response
+  writeRelayedHead(res, { status, headers: { ...responseHeaders(response.headers), 'X-Request-Id': requestId }, closeDelimited })
   for await (const chunk of response.body) {
     await writeToCaller(res, chunk, stallMs, signal)
   }
--- a/packages/daemon/src/idempotency/JaymillForwardClient.ts
+++ b/packages/daemon/src/idempotency/JaymillForwardClient.ts
@@ -2,8 +2,11 @@
 import type { PeerClient } from '@jaymill/adapters'
 import { ErrorKind, RanState, RequestError, UnknownReason, fromProblem } from '@jaymill/core'
 import { writeToCaller } from '../callers/JaymillCallerExchange.js'
+import { writeRelayedHead } from '../callers/JaymillRelayedResponse.js'
 import { responseHeaders } from '../callers/JaymillServiceCall.js'
-import { ACCOUNT_HEADER, KEY_HEADER, MINTED_HEADER, PROBLEM_HEADER, REASON_HEADER, RECALL_HEADER } from './constants.js'
+import {
+  ACCOUNT_HEADER, CLOSE_DELIMITED_HEADER, KEY_HEADER, MINTED_HEADER, PROBLEM_HEADER, REASON_HEADER, RECALL_HEADER
+} from './constants.js'
 import type { KeyedArrival } from './JaymillKeyedArrival.js'
 import { UndecidedError } from './JaymillUndecidedError.js'
 
@@ -47,7 +50,8 @@
 }
 
 async function pipe (ownerResponse: OwnerResponse, res: ServerResponse, stallMs: number, signal: AbortSignal): Promise<void> {
-  res.writeHead(ownerResponse.statusCode, responseHeaders(ownerResponse.headers))
+  const { [CLOSE_DELIMITED_HEADER]: closeDelimited, ...headers } = responseHeaders(ownerResponse.headers)
+  writeRelayedHead(res, { status: ownerResponse.statusCode, headers, closeDelimited: closeDelimited !== undefined })
   for await (const chunk of ownerResponse.body) {
     await writeToCaller(res, chunk, stallMs, signal)
   }
--- a/packages/daemon/src/idempotency/JaymillForwardServer.ts
+++ b/packages/daemon/src/idempotency/JaymillForwardServer.ts
@@ -55,6 +55,7 @@
       key: requireHeader(headers, KEY_HEADER),
       minted: headers[MINTED_HEADER] === '1',
       recall: headers[RECALL_HEADER] === '1',
+      forwarded: true,
       match: fleetIndex(this._ctx.fleet()).service(method, new URL(path, 'http://peer').pathname),
       method,
       path,
--- a/packages/daemon/src/idempotency/JaymillKeyedArrival.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyedArrival.ts
@@ -11,6 +11,8 @@
   readonly minted: boolean
   /** Whether only a recorded outcome is looked up; the request must not run. */
   readonly recall: boolean
+  /** Whether another host forwarded the arrival and receives the response. */
+  readonly forwarded: boolean
   readonly match: ServiceMatch
   readonly method: string
   /** Path and query. */
--- a/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillKeyedRequests.ts
@@ -55,6 +55,7 @@
       key: headers.idempotencyKey ?? mintKey(),
       minted: headers.idempotencyKey === undefined,
       recall: false,
+      forwarded: false,
       match,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
--- a/packages/daemon/src/idempotency/JaymillOwnedRequests.ts
+++ b/packages/daemon/src/idempotency/JaymillOwnedRequests.ts
@@ -125,7 +125,7 @@
     arrival.record?.decide(RequestEvent.Execute, `owner ${reservation.ownerId}`, this._ctx.clock.nowMs(), reservation.endpointId)
     const endpointResponse = await callService(this._ctx, { ...arrival, idempotencyKey: arrival.key }, reservation, signal)
       .catch((err: unknown) => { throw this._recordFailure(permit, err) })
-    await relayResponse(endpointResponse, arrival.requestId, res, this._ctx.settings.limits.callerStallMs, signal).then(
+    await relayResponse(endpointResponse, arrival, res, this._ctx.settings.limits.callerStallMs, signal).then(
       stored => owner.recordRan(permit, stored),
       (err: unknown) => { owner.recordRan(permit); throw toRanError(err) }
     )
--- a/packages/daemon/src/idempotency/JaymillResponseRelay.ts
+++ b/packages/daemon/src/idempotency/JaymillResponseRelay.ts
@@ -2,8 +2,10 @@
 import type { ServiceResponse } from '@jaymill/adapters'
 import { MAX_STORED_RESPONSE_BYTES, StoredResponse } from '@jaymill/core'
 import { writeToCaller } from '../callers/JaymillCallerExchange.js'
+import { writeRelayedHead, type RelayedHead } from '../callers/JaymillRelayedResponse.js'
 import { responseHeaders } from '../callers/JaymillServiceCall.js'
-import { REPLAYED_HEADER } from './constants.js'
+import { CLOSE_DELIMITED_HEADER, REPLAYED_HEADER } from './constants.js'
+import type { KeyedArrival } from './JaymillKeyedArrival.js'
 
 /**
  * Relays the response of an endpoint to the caller and buffers a copy. Reads the response to its end even after the caller
@@ -11,25 +13,36 @@
  * so that the outcome is recorded before the caller sees the end of the response.
  *
  * @param endpointResponse - Response of the endpoint.
- * @param requestId - Id of the request.
+ * @param arrival - Arrival that receives the response.
  * @param res - Response to the caller.
  * @param stallMs - Longest time for which the caller may read nothing, in milliseconds.
  * @param signal - Cancels the relay.
- * @returns The copy, or `undefined` when the response is larger than `MAX_STORED_RESPONSE_BYTES`.
+ * @returns The copy; `undefined` when the response is larger than `MAX_STORED_RESPONSE_BYTES`, or ends with its connection, so that
+ * it may be truncated.
  */
 export async function relayResponse (
-  endpointResponse: ServiceResponse, requestId: string, res: ServerResponse, stallMs: number, signal: AbortSignal
+  endpointResponse: ServiceResponse, arrival: KeyedArrival, res: ServerResponse, stallMs: number, signal: AbortSignal
 ): Promise<StoredResponse | undefined> {
+  const { status, closeDelimited } = endpointResponse
   const headers = responseHeaders(endpointResponse.headers)
   const chunks: Uint8Array[] = []
   let size = 0
-  res.writeHead(endpointResponse.status, { ...headers, 'X-Request-Id': requestId })
+  writeRelayedHead(res, toHead(endpointResponse, headers, arrival))
   for await (const chunk of endpointResponse.body) {
     size += chunk.byteLength
     if (size <= MAX_STORED_RESPONSE_BYTES) chunks.push(chunk)
     await write(res, chunk, stallMs, signal)
   }
-  return size <= MAX_STORED_RESPONSE_BYTES ? { status: endpointResponse.status, headers, body: Buffer.concat(chunks) } : undefined
+  const canStore = size <= MAX_STORED_RESPONSE_BYTES && !closeDelimited
+  return canStore ? { status, headers, body: Buffer.concat(chunks) } : undefined
+}
+
+/** Chunks go to another host, which can tell from them whether the response broke off; it then uses the framing of the header. */
+function toHead (
+  { status, closeDelimited }: ServiceResponse, headers: RelayedHead['headers'], { requestId, forwarded }: KeyedArrival
+): RelayedHead {
+  const framing: RelayedHead['headers'] = forwarded && closeDelimited ? { [CLOSE_DELIMITED_HEADER]: '1' } : {}
+  return { status, headers: { ...headers, 'X-Request-Id': requestId, ...framing }, closeDelimited: closeDelimited && !forwarded }
 }
 
 /**
--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http'
-import { JaymillError, toProblem } from '@jaymill/core'
+import { isCloseDelimited, JaymillError, mayHaveBody, toProblem } from '@jaymill/core'
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { RESET_DELAY_MS } from './constants.js'
 
@@ -41,8 +41,6 @@
 /** Responses whose end is marked only by the end of their connection. */
 const closeDelimitedResponses = new WeakSet<ServerResponse>()
 
-const STATUS_NO_CONTENT = 204
-
 /**
  * Tells whether only the end of its connection marked the end of a response that has arrived.
  *
@@ -51,17 +49,7 @@
  * @returns Whether the response may have a body, and has neither a length nor chunks.
  */
 export function endedWithConnection ({ status, headers }: Pick<BufferedResponse, 'status' | 'headers'>, method: string | undefined): boolean {
-  return status !== STATUS_NO_CONTENT && method !== 'HEAD' && isCloseDelimited(headers)
-}
-
-/**
- * Tells whether the end of a response is marked only by the end of its connection (RFC 9112, section 6.3).
- *
- * @param headers - Headers of a response that may have a body.
- * @returns Whether the response has neither a length nor chunks.
- */
-export function isCloseDelimited (headers: IncomingHttpHeaders): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+  return mayHaveBody(method, status) && isCloseDelimited(headers)
 }
 
 /**
