Give tracked runs a file, and reuse the core's type of a crash

Cause: the detector and the guard of crashes imported each other, and the detector had a copy of CrashObservation. Change: TrackedRun in a file of its own; the copy is gone. No behaviour changes. Verified: types, linter.

--- a/packages/gateway/src/forwarding/JaymillCrashDetector.ts
+++ b/packages/gateway/src/forwarding/JaymillCrashDetector.ts
@@ -1,15 +1,8 @@
-import type { EndpointRecord, RunKeys } from '@jaymill/core'
+import type { CrashObservation, EndpointRecord } from '@jaymill/core'
 import { isReachable } from '../endpoints/JaymillReachability.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import { MAX_LOGGED_PARTS, RUN_START_MS } from './constants.js'
-import type { TrackedRun } from './JaymillCrashGuard.js'
-
-/** Crash of an endpoint, with the runs that were starting there. */
-export interface DetectedCrash {
-  /** Identifies the process of the endpoint that crashed. */
-  readonly id: string
-  readonly runs: readonly RunKeys[]
-}
+import type { TrackedRun } from './JaymillTrackedRun.js'
 
 /**
  * Detects endpoints that have crashed: a response broke off, and the endpoint accepts no connection. A request that crashes
@@ -17,7 +10,7 @@
  */
 export class CrashDetector {
   private readonly _log: GatewayLog
-  private readonly _onCrash: (crash: DetectedCrash) => void
+  private readonly _onCrash: (crash: CrashObservation) => void
   /** Checks in progress, by the process of the endpoint. */
   private readonly _checks = new Map<string, Promise<boolean>>()
 
@@ -25,7 +18,7 @@
    * @param log - Log of the host.
    * @param onCrash - Called for each run that was starting at an endpoint that has crashed.
    */
-  constructor (log: GatewayLog, onCrash: (crash: DetectedCrash) => void) {
+  constructor (log: GatewayLog, onCrash: (crash: CrashObservation) => void) {
     this._log = log
     this._onCrash = onCrash
   }
--- a/packages/gateway/src/forwarding/JaymillCrashGuard.ts
+++ b/packages/gateway/src/forwarding/JaymillCrashGuard.ts
@@ -1,21 +1,12 @@
-import { ErrorKind, QuarantineProbes, RanState, RequestError, type Clock, type CrashQuarantine, type EndpointRecord, type RunKeys } from '@jaymill/core'
+import {
+  ErrorKind, QuarantineProbes, RanState, RequestError, type Clock, type CrashObservation, type CrashQuarantine, type EndpointRecord, type RunKeys
+} from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
-import { QUARANTINE_RETRY_AFTER_MS, PROOF_RUN_MS } from './constants.js'
-import { CrashDetector, type DetectedCrash } from './JaymillCrashDetector.js'
-
-/** One run of a request at an endpoint. */
-export interface TrackedRun {
-  readonly endpoint: EndpointRecord
-  readonly keys: RunKeys
-  /** Monotonic time of the first event of its response, in milliseconds; absent before. */
-  firstEventMs?: number
-  /** Monotonic time of the latest event, in milliseconds; absent before the first. */
-  lastEventMs?: number
-  /** Whether its events have proven its keys. */
-  proven?: boolean
-}
+import { PROOF_RUN_MS, QUARANTINE_RETRY_AFTER_MS } from './constants.js'
+import { CrashDetector } from './JaymillCrashDetector.js'
+import type { TrackedRun } from './JaymillTrackedRun.js'
 
 /** Dependencies of the guard. */
 export interface CrashGuardContext {
@@ -160,7 +151,7 @@
     )
   }
 
-  private _recordCrash (crash: DetectedCrash): void {
+  private _recordCrash (crash: CrashObservation): void {
     const { quarantine, clock, metrics } = this._context
     if (!quarantine.recordCrash(crash, clock.nowMs())) return
     metrics.recordCall('run', 'crashed')
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -16,7 +16,6 @@
   PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
-import type { TrackedRun } from './JaymillCrashGuard.js'
 import { EngineReservations } from './JaymillEngineReservations.js'
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
@@ -26,6 +25,7 @@
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
+import type { TrackedRun } from './JaymillTrackedRun.js'
 
 const STATUS_OK = 200
 
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -5,10 +5,10 @@
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_IDLE_TIMEOUT_MS } from './constants.js'
-import type { TrackedRun } from './JaymillCrashGuard.js'
 import { Forwarder } from './JaymillForwarder.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
+import type { TrackedRun } from './JaymillTrackedRun.js'
 
 interface StreamProgress {
   readonly relay: StreamRelay
