Log how long requests to the configuration source take when they fail

The log could not tell whether a late configuration is due to a request for changes that hangs or to a version that was skipped. It now shows the duration of a request that fails or that reports lost history, and the versions of both hosts when documents are requested from another host. No decision is changed.

--- a/packages/gateway/src/fleet/JaymillFleetFollower.ts
+++ b/packages/gateway/src/fleet/JaymillFleetFollower.ts
@@ -28,6 +28,7 @@
   private _following = true
   private _failures = 0
   private _lastResponseMs: number
+  private _requestedMs: number
 
   /**
    * @param context - Dependencies.
@@ -35,6 +36,7 @@
   constructor (context: FleetFollowerContext) {
     this._context = context
     this._lastResponseMs = context.clock.nowMs()
+    this._requestedMs = this._lastResponseMs
   }
 
   /** Whether this host follows the source and its last request succeeded. */
@@ -89,6 +91,7 @@
   private async _poll (signal: AbortSignal): Promise<void> {
     const waitMs = this._revision === undefined ? 0 : CHANGES_WAIT_MS
     const limit = new TimeLimit(signal, waitMs + SOURCE_RESPONSE_MARGIN_MS)
+    this._requestedMs = this._context.clock.nowMs()
     try {
       await (this._revision === undefined ? this._readSnapshot(limit.signal) : this._readChanges(this._revision, limit.signal))
     } catch (err) {
@@ -109,7 +112,7 @@
 
   private async _readChanges (revision: number, signal: AbortSignal): Promise<void> {
     const changes = await this._context.source.changes(revision, CHANGES_WAIT_MS, signal)
-    if (changes === undefined) this._context.log.stateChange('history of the source lost', { revision })
+    if (changes === undefined) this._context.log.stateChange('history of the source lost', { revision, ms: this._requestMs })
     this._recordSuccess()
     this._revision = changes?.revision
     if (changes !== undefined) this._context.state.applyChanges(changes, Origin.Source)
@@ -126,7 +129,12 @@
 
   private _recordFailure (err: unknown): void {
     this._failures += 1
-    if (this._failures === 1) this._context.log.warn('source does not answer', { reason: (err as Error).message })
+    if (this._failures === 1) this._context.log.warn('source does not answer', { reason: (err as Error).message, ms: this._requestMs })
+  }
+
+  /** Duration of the current request, in milliseconds. */
+  private get _requestMs (): number {
+    return Math.round(this._context.clock.nowMs() - this._requestedMs)
   }
 
   private _backoffMs (): number {
--- a/packages/gateway/src/peers/JaymillDocumentExchange.ts
+++ b/packages/gateway/src/peers/JaymillDocumentExchange.ts
@@ -78,10 +78,13 @@
   }
 
   private _fetchIfNewer (host: string, message: HostMessage): void {
-    const { state, log } = this._context
+    const { state, log, follower } = this._context
     this._newerSinceMs = undefined
     if (message.config <= state.version && message.revision <= state.directory.revision) return
     this._fetching = true
+    log.stateChange('documents requested', {
+      peer: host, config: message.config, own: state.version, revision: message.revision, sinceSourceMs: Math.round(follower.sinceResponseMs)
+    })
     this._fetch(host)
       .catch((err: Error) => log.warn('documents not fetched', { peer: host, reason: err.message }))
       .finally(() => this._fetchDone())
