Read everything again after a failed request to the configuration source

Seen by callers: a route that had been added was refused with 404 for 3.0 s after the configuration was acknowledged; the bound is 2 s.

Cause: the source stalls its watches for about a second, drops its history and closes them. The host asked for changes again from its old revision, waiting up to 2 s, and the source reports lost history only at the end of that wait. All hosts wait at the same time, so none can help another.

Ruled out: a skipped version (the position stayed at the old revision); a hanging connection (closed by the source).

Change: a failure forgets the position, so that the next request is a complete read, which returns at once. Class: a wait hides an error that could be reported at once.

--- a/packages/gateway/src/fleet/JaymillFleetFollower.ts
+++ b/packages/gateway/src/fleet/JaymillFleetFollower.ts
@@ -127,8 +127,13 @@
     this._lastResponseMs = this._context.clock.nowMs()
   }
 
+  /**
+   * After a failure everything is read again: the source may have lost its history, and then reports it only at the end of the
+   * wait for changes, while a read returns at once.
+   */
   private _recordFailure (err: unknown): void {
     this._failures += 1
+    this._revision = undefined
     if (this._failures === 1) this._context.log.warn('source does not answer', { reason: (err as Error).message, ms: this._requestMs })
   }
 
