Notice a silent connection to the configuration source within the bound

Seen by callers: an added route can be refused with 404 for 3.0 s after the configuration was acknowledged, when the connection to the source has gone silent; the bound is 2 s.

Cause: a request for changes waited up to 2 s and was given up 1 s later, whatever the bound. Hosts whose requests started together, which the last change causes, notice it together, so that other hosts help only by chance. Class: a detection time that was not derived from the bound that it serves. Elsewhere: fetches from other hosts end after 1 s; heartbeats every 0.3 s.

Ruled out: TCP keep-alive, whose interval and count Node.js does not set.

Change: wait and margin are two fifths of the bound each (new setting bounds.configurationMs, filled in by the platform), at most 2 s and 1 s as before.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -13,6 +13,7 @@
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
 import { FleetState } from './fleet/JaymillFleetState.js'
+import { sourceTiming } from './fleet/JaymillSourceTiming.js'
 import { CrashGuard } from './forwarding/JaymillCrashGuard.js'
 import type { Forwarder } from './forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from './forwarding/JaymillForwardingContext.js'
@@ -80,11 +81,12 @@
     const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
     const quarantine = new CrashQuarantine()
     this._state = new FleetState(clock, log)
-    const { host: { id, zone, address }, listen } = settings
+    const { host: { id, zone, address }, listen, bounds } = settings
+    const timing = sourceTiming(bounds.configurationMs)
     const shouldFollow = (): boolean => new PerZoneReaderSelection().shouldRead({ address, zone, connected: this._follower.connected }, this._heartbeats.readers)
     const seeds = settings.seeds.map(seed => seed.address)
     const hasSeeds = seeds.length > 0 && !seeds.includes(address)
-    this._follower = new FleetFollower({ source, state: this._state, hasSeeds, shouldFollow, clock, random, log })
+    this._follower = new FleetFollower({ source, state: this._state, timing, hasSeeds, shouldFollow, clock, random, log })
     const connected = (): boolean => this._follower.connected
     this._heartbeats = new HostHeartbeats({ address, zone, listen: listen.beacon, seeds, state: this._state, work, quarantine, onEvidence: () => this._forwardingContext.crashes.evidenceChanged(), connected, clock, log })
     this._forwardingContext = this._createForwardingContext(work, quarantine)
--- a/packages/gateway/src/fleet/JaymillFleetFollower.ts
+++ b/packages/gateway/src/fleet/JaymillFleetFollower.ts
@@ -4,14 +4,16 @@
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetSource } from '../ports/JaymillFleetSource.js'
 import {
-  CHANGES_WAIT_MS, EXPIRE_INTERVAL_MS, FOLLOW_CHECK_INTERVAL_MS, PEER_STATE_CHECK_MS, PEER_STATE_JITTER_MS, PEER_STATE_WAIT_MS, SOURCE_OUTAGE_MS, SOURCE_RESPONSE_MARGIN_MS, SOURCE_BACKOFF_FIRST_MS, SOURCE_BACKOFF_MAX_MS
+  EXPIRE_INTERVAL_MS, FOLLOW_CHECK_INTERVAL_MS, PEER_STATE_CHECK_MS, PEER_STATE_JITTER_MS, PEER_STATE_WAIT_MS, SOURCE_OUTAGE_MS, SOURCE_BACKOFF_FIRST_MS, SOURCE_BACKOFF_MAX_MS
 } from './constants.js'
 import { FleetState, Origin } from './JaymillFleetState.js'
+import type { SourceTiming } from './JaymillSourceTiming.js'
 
 /** Dependencies of the follower. */
 export interface FleetFollowerContext {
   readonly source: FleetSource
   readonly state: FleetState
+  readonly timing: SourceTiming
   /** Whether another host may have the state already when this host starts. */
   readonly hasSeeds: boolean
   /** Whether this host has to follow the source; otherwise it gets the state from other hosts. */
@@ -89,8 +91,8 @@
   }
 
   private async _poll (signal: AbortSignal): Promise<void> {
-    const waitMs = this._revision === undefined ? 0 : CHANGES_WAIT_MS
-    const limit = new TimeLimit(signal, waitMs + SOURCE_RESPONSE_MARGIN_MS)
+    const { waitMs, marginMs } = this._context.timing
+    const limit = new TimeLimit(signal, this._revision === undefined ? marginMs : waitMs + marginMs)
     this._requestedMs = this._context.clock.nowMs()
     try {
       await (this._revision === undefined ? this._readSnapshot(limit.signal) : this._readChanges(this._revision, limit.signal))
@@ -111,7 +113,8 @@
   }
 
   private async _readChanges (revision: number, signal: AbortSignal): Promise<void> {
-    const changes = await this._context.source.changes(revision, CHANGES_WAIT_MS, signal)
+    const { source, timing } = this._context
+    const changes = await source.changes(revision, timing.waitMs, signal)
     if (changes === undefined) this._context.log.stateChange('history of the source lost', { revision, ms: this._requestMs })
     this._recordSuccess()
     this._revision = changes?.revision
@@ -119,7 +122,7 @@
   }
 
   private _recordSuccess (): void {
-    const silentMs = Math.round(this.sinceResponseMs - CHANGES_WAIT_MS)
+    const silentMs = Math.round(this.sinceResponseMs - this._context.timing.waitMs)
     const outage = this._failures > 0 && this.sinceResponseMs > SOURCE_OUTAGE_MS
     if (outage) this._context.state.sourceRecovered()
     if (this._failures > 0) this._context.log.stateChange('source answers again', { silentMs, failures: this._failures })
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -1,8 +1,20 @@
-/** Longest wait of one request for changes, in milliseconds; bounds the time until a broken connection is detected. */
-export const CHANGES_WAIT_MS = 2_000
+/** Wait of one request for changes, as a share of the bound for a configuration to take effect. */
+export const CHANGES_WAIT_SHARE = 0.4
 
-/** Time that a response may take beyond the wait of its request, in milliseconds. */
-export const SOURCE_RESPONSE_MARGIN_MS = 1_000
+/** Longest wait of one request for changes, in milliseconds. */
+export const CHANGES_WAIT_MAX_MS = 2_000
+
+/**
+ * Time that a response may take beyond the wait of its request, as a share of the same bound. What both shares leave is for a new
+ * connection and a complete read.
+ */
+export const RESPONSE_MARGIN_SHARE = 0.4
+
+/** Longest time that a response may take beyond the wait of its request, in milliseconds. */
+export const RESPONSE_MARGIN_MAX_MS = 1_000
+
+/** Shortest wait and shortest margin, in milliseconds: an overloaded source is not asked more often. */
+export const SOURCE_TIMING_MIN_MS = 250
 
 /** Initial backoff after a failed read, in milliseconds. */
 export const SOURCE_BACKOFF_FIRST_MS = 50
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -38,10 +38,11 @@
     .meta({ description: 'Initial peers, retained for the life of the process; some may be down.' }),
   bounds: z.strictObject({
     graceSeconds: nonNegativeNumberField(Unit.Seconds, 'Grace period from the stop request to the exit of the process.').default(8),
+    configurationMs: nonNegativeNumberField(Unit.Milliseconds, 'Time within which a published configuration has to take effect on every host.').default(2_000),
     retryRatio: nonNegativeNumberField(Unit.None, 'Maximum ratio of retries to requests across the fleet, for each service.').default(0.2),
     retryMinimum: nonNegativeNumberField(Unit.Requests, 'Retries allowed per window in addition to the ratio, for each service.').default(0),
     retryWindowSeconds: nonNegativeNumberField(Unit.Seconds, 'Sliding window of the retry budget; 0 allows no retries.').default(10)
-  }).prefault({}).meta({ description: 'Grace period and fleet-wide retry budget.' }),
+  }).prefault({}).meta({ description: 'Grace period, time for a new configuration, and fleet-wide retry budget.' }),
   log: z.strictObject({
     level: z.enum(LogLevel).default(LogLevel.Info).meta({ description: 'Lowest severity that is logged.' })
   }).prefault({}).meta({ description: 'Logging.' })
