Take no response of another request for a refusal

Seen by callers: 503 with the promise that the request has not run, though an endpoint ran it. A faulty endpoint had written an earlier refusal once more on a kept connection, where the response to the next request was expected.

Cause: a response that says that a request has not run was believed before its request id was compared. Class: a statement that is used before it is known whom it concerns. Requests that must run at most once were not affected, since they have connections of their own.

Test, red before (503 for a request that ran, 502 after): JaymillFaultyEndpoints.

--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -302,6 +302,7 @@
       return response
     }
     this._recordOutcome(endpoint, CallOutcome.Failure)
+    if (verdict === ResponseVerdict.Unusable) this._context.calls.closeConnections(endpoint)
     progress.avoidedIds.add(endpoint.id)
     if (verdict === ResponseVerdict.Failed && !progress.relay.started && progress.runs >= request.route.maxAttempts) await this._relayFailure(request, response)
     response.body.destroy()
--- a/packages/gateway/src/forwarding/JaymillResponseVerdict.ts
+++ b/packages/gateway/src/forwarding/JaymillResponseVerdict.ts
@@ -29,12 +29,25 @@
   dialect: WireDialect, requestId: string, status: number, headers: IncomingHttpHeaders
 ): ResponseVerdict {
   const metadata = dialect.responseMetadata(status, headers)
+  if (isOfOtherRequest(metadata, requestId)) return ResponseVerdict.Unusable
   if (metadata.misdirected || (metadata.notRun && status >= 400)) return ResponseVerdict.NotRun
   if (!belongsToRequest(metadata, requestId)) return ResponseVerdict.Unusable
   if (status >= 200 && status < 300) return ResponseVerdict.Success
   return NOT_RUN_STATUSES.includes(status) ? ResponseVerdict.Unusable : ResponseVerdict.Failed
 }
 
+/**
+ * Tells whether a response names another request than the one that it seems to answer. An endpoint may send a response once more,
+ * which then arrives where the next one is expected.
+ *
+ * @param metadata - Metadata of the response.
+ * @param expected - Id of the request.
+ * @returns Whether it names another request; one that names none may be of this request.
+ */
+export function isOfOtherRequest ({ requestId }: ResponseMetadata, expected: string): boolean {
+  return requestId !== undefined && requestId !== expected
+}
+
 function belongsToRequest ({ requestId, signed, encoded }: ResponseMetadata, expected: string): boolean {
   return requestId === expected && signed && !encoded
 }
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -51,6 +51,7 @@
       this._recordOutcome(endpoint, verdict === ResponseVerdict.Success ? CallOutcome.Success : CallOutcome.Failure)
       if (verdict === ResponseVerdict.Success) return { end: await this._relayStream(request, relay, response, run), ran: true }
       response.body.destroy()
+      if (verdict === ResponseVerdict.Unusable) this._context.calls.closeConnections(endpoint)
       return { end: RelayOutcome.Broken, ran: verdict !== ResponseVerdict.NotRun }
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err
