Do not run a request from the prefill of another one

Seen by callers, had it happened: an answer to the prompt of somebody else. An endpoint that writes an earlier response once more on a kept connection could give one request the handle of another request's KV cache.

Cause: the response to a prefill was used without comparing its request id, over pooled connections.

Change: the result of another request is not used; the engine counts as unreachable for a while and its pooled connections are closed. Reservations have no id on the wire; a repeated one can only make a request use a reservation that is spent or refused (not changed).

Test, red before (the handle of the first request used twice): JaymillFaultyEndpoints.

--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -8,7 +8,7 @@
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
 import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
-import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
+import type { BufferedResponse, StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import {
@@ -24,7 +24,7 @@
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
-import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
+import { classifyResponse, isOfOtherRequest, ResponseVerdict } from './JaymillResponseVerdict.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
 const STATUS_OK = 200
@@ -220,7 +220,7 @@
     const startMs = clock.nowMs()
     const call = { ...this._call(request, endpoint, { role: EngineRole.Prefill }), ownConnection: false }
     const prompt = await calls.collect(call, MAX_BUFFERED_RESPONSE_BYTES, limit.signal).then(
-      ({ status, body }) => this._toPrefilledPrompt(endpoint, status, body),
+      response => this._toPrefilledPrompt(request, endpoint, response),
       (err: ExchangeError) => {
         if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
         return undefined
@@ -238,9 +238,15 @@
     return prompt
   }
 
-  /** Treats an engine that refuses a prefill as unreachable: it is full or changing its role, and should get no work for some time. */
-  private _toPrefilledPrompt (endpoint: EndpointRecord, status: number, body: Buffer): PrefilledPrompt | undefined {
-    const result = status === STATUS_OK ? this._context.engines.prefillResult(body) : undefined
+  /**
+   * Treats an engine that refuses a prefill as unreachable: it is full or changing its role, and should get no work for some time.
+   * The result of another request is not used, since the request would go on from the prompt of that one.
+   */
+  private _toPrefilledPrompt (request: GatewayRequest, endpoint: EndpointRecord, { status, headers, body }: BufferedResponse): PrefilledPrompt | undefined {
+    const { dialect, engines, calls } = this._context
+    const isOwn = !isOfOtherRequest(dialect.responseMetadata(status, headers), request.id)
+    if (!isOwn) calls.closeConnections(endpoint)
+    const result = isOwn && status === STATUS_OK ? engines.prefillResult(body) : undefined
     this._recordOutcome(endpoint, result === undefined ? CallOutcome.Unreachable : CallOutcome.Success)
     return result === undefined ? undefined : { endpoint, address: endpoint.address, handle: result.handle }
   }
