Give a complete read of the source as much time as a request for changes

Since a failure is followed by a complete read, a source that is slow but answers within the time for changes would have been given up after the margin alone (0.8 s of 1.6 s) again and again. The tests of the bound for a configuration pass as before.

--- a/packages/gateway/src/fleet/JaymillFleetFollower.ts
+++ b/packages/gateway/src/fleet/JaymillFleetFollower.ts
@@ -92,7 +92,7 @@
 
   private async _poll (signal: AbortSignal): Promise<void> {
     const { waitMs, marginMs } = this._context.timing
-    const limit = new TimeLimit(signal, this._revision === undefined ? marginMs : waitMs + marginMs)
+    const limit = new TimeLimit(signal, waitMs + marginMs)
     this._requestedMs = this._context.clock.nowMs()
     try {
       await (this._revision === undefined ? this._readSnapshot(limit.signal) : this._readChanges(this._revision, limit.signal))
