Send no request to an endpoint that says that it leaves

Seen by endpoints: an endpoint that says in its responses that it is leaving got requests until the configuration source said so too.

Cause: nothing read the header. Class: as with rate limits, a wish of an endpoint that is forwarded to the caller and not followed.

Change: the header is decoded in the dialect; EndpointAdmission, which plain calls, streams, prefills and reservations already ask, then allows no request. An endpoint is used again when a response to a caller's request no longer says so, or when it has started again under its id. What a host has heard is not passed on to other hosts yet; each learns it from its first response.

Tests: JaymillLeavingEndpoints. Two of three were red before: an engine got 7 of 12 prompts (1 allowed, 1 after), and the only endpoint of a service got all four requests (1 after, the others are refused at once). The third one passes before as well, since its endpoint was measured as the slower one; it stays as a guard.

--- a/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
+++ b/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
@@ -16,6 +16,8 @@
 /** Decides whether an endpoint may get one more request of this host, by what the endpoint has asked for in its responses. */
 export class EndpointAdmission {
   private readonly _context: EndpointAdmissionContext
+  /** Endpoints that have said that they are leaving, with the start time of their process. */
+  private readonly _leaving = new Map<string, number | undefined>()
 
   /**
    * @param context - Dependencies.
@@ -53,17 +55,29 @@
   }
 
   /**
-   * Reads what an endpoint asks for. Only the response to a caller's request can lift a limit: responses to other calls need not
-   * name it, and one that belongs to another request is late.
+   * Reads what an endpoint asks for. Only the response to a caller's request can take something back: responses to other calls need
+   * not repeat it, and one that belongs to another request is late.
    *
    * @param endpoint - The endpoint.
    * @param requestId - Id of the caller's request; absent for calls of the host itself.
    * @param metadata - Metadata of the response.
    */
-  responded ({ id }: EndpointRecord, requestId: string | undefined, metadata: ResponseMetadata): void {
+  responded (endpoint: EndpointRecord, requestId: string | undefined, metadata: ResponseMetadata): void {
+    const isOwn = requestId !== undefined && metadata.requestId === requestId
+    this._readLimit(endpoint, metadata, isOwn)
+    this._readLeaving(endpoint, metadata, isOwn)
+  }
+
+  private _readLeaving ({ id, bornMs }: EndpointRecord, { leaving }: ResponseMetadata, isOwn: boolean): void {
+    if (leaving === this._leaving.has(id) || (!leaving && !isOwn)) return
+    if (leaving) this._leaving.set(id, bornMs)
+    else this._leaving.delete(id)
+    this._context.log.stateChange(leaving ? 'endpoint says that it leaves' : 'endpoint no longer leaves', { endpoint: id })
+  }
+
+  private _readLimit ({ id }: EndpointRecord, { limitPerS }: ResponseMetadata, isOwn: boolean): void {
     const { limits, clock, report } = this._context
-    const { limitPerS } = metadata
-    if (limitPerS === undefined && (requestId === undefined || metadata.requestId !== requestId)) return
+    if (limitPerS === undefined && !isOwn) return
     if (!limits.heard(id, limitPerS, clock.nowMs())) return
     this._logLimit(id, limitPerS, 'response')
     report()
@@ -85,13 +99,21 @@
    */
   forget ({ id }: EndpointRecord): void {
     this._context.limits.forget(id)
+    this._leaving.delete(id)
   }
 
-  private _untilMs ({ id }: EndpointRecord): number {
+  private _untilMs (endpoint: EndpointRecord): number {
     const { limits, clock, share } = this._context
+    const { id } = endpoint
+    if (this._isLeaving(endpoint)) return Number.POSITIVE_INFINITY
     return limits.limitOf(id) === undefined ? 0 : limits.untilAllowedMs(id, share(), clock.nowMs())
   }
 
+  /** An endpoint that has started again under the same id has not said anything yet. */
+  private _isLeaving ({ id, bornMs }: EndpointRecord): boolean {
+    return this._leaving.has(id) && this._leaving.get(id) === bornMs
+  }
+
   private _logLimit (endpoint: string, perS: number | undefined, origin: string): void {
     this._context.log.stateChange(perS === undefined ? 'endpoint lifts its limit' : 'endpoint limits its requests', { endpoint, perS, origin })
   }
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -69,6 +69,8 @@
   readonly load?: ReportedLoad
   /** Requests per second that the endpoint accepts from all hosts together; absent without a limit. */
   readonly limitPerS?: number
+  /** Whether the endpoint is about to shut down and wants no further requests. */
+  readonly leaving: boolean
 }
 
 /** Header names and formats that callers and endpoints use. */
