Send nothing to an endpoint for the time that it names when it turns a request away

Seen by endpoints: an endpoint that turned a request away with 503 and a Retry-After got the next requests at once.

Cause: its Retry-After was not read. Class: as with the other wishes of endpoints.

EndpointAdmission then allows no request, reservations included, and adds up to a tenth at random, so that hosts do not return together. A prompt for which no decode engine may be asked before its caller gives up is refused at once, with the remaining time.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -189,7 +189,7 @@
       demand,
       roleChanges,
       crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, hostCount: () => this._heartbeats.hostCount, share: () => this._heartbeats.evidenceAdded() }),
-      admission: new EndpointAdmission({ limits, clock, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
+      admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
--- a/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
+++ b/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
@@ -1,11 +1,13 @@
-import type { Clock, EndpointRateLimits, EndpointRecord, RateShare, ReportedRateLimit } from '@jaymill/core'
+import type { Clock, EndpointRateLimits, EndpointRecord, Random, RateShare, ReportedRateLimit } from '@jaymill/core'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { ResponseMetadata } from '../ports/JaymillWireDialect.js'
+import { BACKOFF_JITTER_SHARE, MAX_BACKOFF_MS } from './constants.js'
 
 /** Dependencies of the admission. */
 export interface EndpointAdmissionContext {
   readonly limits: EndpointRateLimits
   readonly clock: Clock
+  readonly random: Random
   readonly log: GatewayLog
   /** Divides the rate of an endpoint among the hosts that are known now. */
   readonly share: () => RateShare
@@ -18,6 +20,8 @@
   private readonly _context: EndpointAdmissionContext
   /** Endpoints that have said that they are leaving, with the start time of their process. */
   private readonly _leaving = new Map<string, number | undefined>()
+  /** Monotonic times until which endpoints want no requests of this host, in milliseconds. */
+  private readonly _backoffUntilMs = new Map<string, number>()
 
   /**
    * @param context - Dependencies.
@@ -66,6 +70,18 @@
     const isOwn = requestId !== undefined && metadata.requestId === requestId
     this._readLimit(endpoint, metadata, isOwn)
     this._readLeaving(endpoint, metadata, isOwn)
+    this._readBackoff(endpoint, metadata)
+  }
+
+  /** Adds a random time, so that not all hosts return at the same moment. A shorter time than an earlier one changes nothing. */
+  private _readBackoff ({ id }: EndpointRecord, { backoffMs }: ResponseMetadata): void {
+    const { clock, random, log } = this._context
+    if (backoffMs === undefined || backoffMs === 0) return
+    const nowMs = clock.nowMs()
+    const untilMs = nowMs + Math.min(MAX_BACKOFF_MS, backoffMs) * (1 + BACKOFF_JITTER_SHARE * random.next())
+    const beforeMs = this._backoffUntilMs.get(id) ?? nowMs
+    this._backoffUntilMs.set(id, Math.max(beforeMs, untilMs))
+    if (beforeMs <= nowMs) log.stateChange('endpoint wants no requests', { endpoint: id, ms: Math.round(untilMs - nowMs) })
   }
 
   private _readLeaving ({ id, bornMs }: EndpointRecord, { leaving }: ResponseMetadata, isOwn: boolean): void {
@@ -100,13 +116,16 @@
   forget ({ id }: EndpointRecord): void {
     this._context.limits.forget(id)
     this._leaving.delete(id)
+    this._backoffUntilMs.delete(id)
   }
 
   private _untilMs (endpoint: EndpointRecord): number {
     const { limits, clock, share } = this._context
     const { id } = endpoint
     if (this._isLeaving(endpoint)) return Number.POSITIVE_INFINITY
-    return limits.limitOf(id) === undefined ? 0 : limits.untilAllowedMs(id, share(), clock.nowMs())
+    const nowMs = clock.nowMs()
+    const backoffMs = Math.max(0, (this._backoffUntilMs.get(id) ?? nowMs) - nowMs)
+    return limits.limitOf(id) === undefined ? backoffMs : Math.max(backoffMs, limits.untilAllowedMs(id, share(), nowMs))
   }
 
   /** An endpoint that has started again under the same id has not said anything yet. */
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -101,6 +101,7 @@
     const firstEventMs = this._expectedFirstEventMs(request)
     const callerTimeoutAtMs = progress.rounds > 1 ? nowMs + callerTimeoutMs(route) : arrivedMs + callerTimeoutMs(route)
     const reservationDeadlineMs = Math.min(callerTimeoutAtMs, request.deadlineMs) - firstEventMs - FIRST_EVENT_MARGIN_MS
+    this._checkAdmission(request, progress, Math.max(reservationDeadlineMs, nowMs))
     const { reservation, retryAfterMs } = await this._queue(request).acquire({
       id: request.id,
       arrivedMs,
@@ -118,6 +119,16 @@
     throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
 
+  /** Refuses a request at once when no decode engine may get it before its caller gives up. */
+  private _checkAdmission (request: GatewayRequest, progress: PromptProgress, deadlineMs: number): void {
+    const { admission, clock, log } = this._context
+    const waitMs = admission.untilAllowedMs(this._pool(request, EngineRole.Decode))
+    if (waitMs === undefined || clock.nowMs() + waitMs <= deadlineMs) return
+    log.request(request.id, 'no engine accepts requests', { waitMs: Math.round(waitMs) })
+    if (progress.relay.started || progress.runs > 0) throw this._finalError(request, progress)
+    throw new RequestError(ErrorKind.Overloaded, 'the decode engines accept no more requests now', { retryAfterMs: waitMs })
+  }
+
   private async _tryReserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation | undefined> {
     const prefillMs = this._expectedPrefillMs(request)
     if (prefillMs > PREFILL_BACKLOG_MS) return undefined
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -4,6 +4,12 @@
 /** Minimum remaining time of a request for another call to be sent, in milliseconds. */
 export const MIN_CALL_MS = 10
 
+/** Longest time for which an endpoint can want no requests, in milliseconds; longer ones are taken as this. */
+export const MAX_BACKOFF_MS = 600_000
+
+/** Largest random time added to it, as a share. */
+export const BACKOFF_JITTER_SHARE = 0.1
+
 /** Share of the latency target for which a request waits until an endpoint with a rate limit may get it. */
 export const RATE_LIMIT_WAIT_SHARE = 0.5
 
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -71,6 +71,8 @@
   readonly limitPerS?: number
   /** Whether the endpoint is about to shut down and wants no further requests. */
   readonly leaving: boolean
+  /** Time for which the endpoint, which has turned a request away, wants nothing from this host, in milliseconds. */
+  readonly backoffMs?: number
 }
 
 /** Header names and formats that callers and endpoints use. */
