Recognize that an endpoint leaves again after a restart under its id

An endpoint that had said that it leaves, was started again under the same id, and said so again in its first response, got further requests: what was known was compared by id, while the start time of the process decides whether it counts.

--- a/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
+++ b/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
@@ -84,8 +84,9 @@
     if (beforeMs <= nowMs) log.stateChange('endpoint wants no requests', { endpoint: id, ms: Math.round(untilMs - nowMs) })
   }
 
-  private _readLeaving ({ id, bornMs }: EndpointRecord, { leaving }: ResponseMetadata, isOwn: boolean): void {
-    if (leaving === this._leaving.has(id) || (!leaving && !isOwn)) return
+  private _readLeaving (endpoint: EndpointRecord, { leaving }: ResponseMetadata, isOwn: boolean): void {
+    const { id, bornMs } = endpoint
+    if (leaving === this._isLeaving(endpoint) || (!leaving && !isOwn)) return
     if (leaving) this._leaving.set(id, bornMs)
     else this._leaving.delete(id)
     this._context.log.stateChange(leaving ? 'endpoint says that it leaves' : 'endpoint no longer leaves', { endpoint: id })
