--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -16,6 +16,8 @@
   readonly verdict: ResponseVerdict
   /** Present when a complete response arrived. */
   readonly response?: BufferedResponse
+  /** Present when none arrived. */
+  readonly failure?: ExchangeFailure
 }
 
 /** Attempts made for one request so far. */
@@ -81,6 +83,7 @@
       attempt: tried.length + 1,
       verdict: attempt.verdict,
       status: attempt.response?.status,
+      failure: attempt.failure,
       ms: Math.round(ms),
       outstanding: work.requests,
       directory: state.directory.revision,
@@ -102,7 +105,7 @@
     const connectFailed = err.failure === ExchangeFailure.Connect
     if (!request.signal.aborted) this._recordOutcome(endpoint, connectFailed ? CallOutcome.Unreachable : CallOutcome.Failure)
     if (err.failure === ExchangeFailure.Broken) this._context.crashes.brokeOff(this._context.crashes.track(request, endpoint))
-    return { endpoint, verdict: err.ran === RanState.No ? ResponseVerdict.NotRun : ResponseVerdict.Unusable }
+    return { endpoint, verdict: err.ran === RanState.No ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, failure: err.failure }
   }
 
   private _finish (request: GatewayRequest, { tried }: Progress): void {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -229,11 +229,13 @@
     this._trackLoad(endpoint, tokens, prefillEnded.signal)
     const limit = new TimeLimit(request.signal, expectedMs * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_MARGIN_MS)
     const startMs = clock.nowMs()
+    let failure: ExchangeFailure | undefined
     const call = { ...this._call(request, endpoint, { role: EngineRole.Prefill }), ownConnection: false }
     const prompt = await calls.collect(call, MAX_BUFFERED_RESPONSE_BYTES, limit.signal).then(
       response => this._toPrefilledPrompt(request, endpoint, response),
       (err: ExchangeError) => {
         if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
+        failure = err.failure
         return undefined
       }
     )
@@ -244,7 +246,7 @@
     const outcome = prompt === undefined ? 'failed' : 'read'
     metrics.recordCall('prefill', outcome)
     log.request(request.id, 'prefill', {
-      endpoint: endpoint.id, outcome, tokens, outstandingTokens: work.tokens, expectedMs: Math.round(expectedMs), ms: Math.round(ms)
+      endpoint: endpoint.id, outcome, failure, tokens, outstandingTokens: work.tokens, expectedMs: Math.round(expectedMs), ms: Math.round(ms)
     })
     return prompt
   }
