Give up a connection to an endpoint after the connect timeout

Callers of a host that could not reach an endpoint waited 0.5 to 1 s for each attempt instead of 0.4 s; many of them gave up before another endpoint was tried. Cause: undici counts timeouts of up to a second in steps of 500 ms. The connector now has a timer of its own.

--- a/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
@@ -1,8 +1,10 @@
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { afterEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import type { EndpointRecord } from '@jaymill/core'
 import { EndpointCalls, ExchangeError, ExchangeFailure } from '../../index.js'
+import { CONNECT_TIMEOUT_MS } from '../../endpoints/constants.js'
+import { HangingListener } from '../HangingListener.js'
 
 const servers: Server[] = []
 
@@ -84,3 +86,22 @@
   })
   await closed
 })
+
+describe('an endpoint at which connections hang', () => {
+  let listener: HangingListener
+  let endpoint: EndpointRecord
+
+  beforeEach(async () => {
+    listener = await HangingListener.start()
+    endpoint = { id: 'e-1', service: 's', address: listener.address, zone: 'z', slots: 1, leaving: false, warmupMs: 0 }
+  })
+
+  afterEach(async () => { await listener.close() })
+
+  // Attempts to connect were given up after 500 to 1,000 ms: the HTTP client counts its timeouts in steps of 500 ms.
+  test.each([true, false])('is given up after the connect timeout (own connection %s)', async own => {
+    const startMs = performance.now()
+    expect(await failureOf(endpoint, own)).toBe(ExchangeFailure.Connect)
+    expect(performance.now() - startMs).toBeLessThan(CONNECT_TIMEOUT_MS + 90)
+  })
+})
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -1,4 +1,5 @@
-import { buildConnector, Client, Pool, type Dispatcher } from 'undici'
+import type { Socket } from 'node:net'
+import { buildConnector, Client, errors, Pool, type Dispatcher } from 'undici'
 import type { EndpointRecord } from '@jaymill/core'
 import { readBounded } from '../JaymillBoundedBytes.js'
 import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, MAX_RESPONSE_HEAD_BYTES, POOL_CONNECTIONS } from './constants.js'
@@ -113,7 +114,7 @@
 
 /** Opens connections and reports, while the listeners of a failed connection run, that it is being reset. */
 class ResetTrackingConnector implements ResetState {
-  private readonly _connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  private readonly _connect = buildConnector({ timeout: 0 })
   private _resetting = false
 
   /** {@inheritDoc ResetState.resetting} */
@@ -123,7 +124,10 @@
 
   /** Connector for undici. */
   readonly connect: buildConnector.connector = (options, done) => {
-    this._connect(options, (...result) => {
+    // The timeout of undici is counted in steps of 500 ms.
+    const timer = setTimeout(() => socket.destroy(new errors.ConnectTimeoutError(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
+    const socket = connectorOf(this._connect)(options, (...result) => {
+      clearTimeout(timer)
       result[1]?.prependListener('error', () => this._markResetting())
       done(...result)
     })
@@ -135,6 +139,11 @@
   }
 }
 
+/** undici's connector returns its socket, which its declaration leaves out. */
+function connectorOf (connect: buildConnector.connector): (...args: Parameters<buildConnector.connector>) => Socket {
+  return connect as (...args: Parameters<buildConnector.connector>) => Socket
+}
+
 async function closeWithBody (client: Client, pending: Promise<StreamedResponse>): Promise<StreamedResponse> {
   const destroy = (): void => { client.destroy().catch(() => { /* The client is already closed. */ }) }
   try {
