End a cancelled call while its connection is still being opened

A reservation that had to be answered within 300 ms, and a request whose caller had left, went on until the attempt to connect failed, because a call could only be cancelled once undici had begun to send it. Its result is now known at once; the request is still not sent when the connection opens later.

--- a/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
@@ -104,4 +104,13 @@
     expect(await failureOf(endpoint, own)).toBe(ExchangeFailure.Connect)
     expect(performance.now() - startMs).toBeLessThan(CONNECT_TIMEOUT_MS + 90)
   })
+
+  // A call that was cancelled while its connection was being opened went on until that failed.
+  test.each([true, false])('does not hold up a cancelled call (own connection %s)', async own => {
+    const startMs = performance.now()
+    const call = { endpoint, method: 'GET', path: '/', headers: [], body: null, ownConnection: own }
+    const calls = new EndpointCalls().collect(call, 1_000, AbortSignal.timeout(100))
+    await expect(calls).rejects.toMatchObject({ failure: ExchangeFailure.Connect })
+    expect(performance.now() - startMs).toBeLessThan(200)
+  })
 })
--- a/packages/gateway/src/endpoints/JaymillStreamedResponse.ts
+++ b/packages/gateway/src/endpoints/JaymillStreamedResponse.ts
@@ -120,7 +120,9 @@
     controller.abort(new ExchangeError(ExchangeFailure.Cancelled, 'the response is no longer needed'))
   }
 
+  /** Without a controller the request waits for a connection; `onRequestStart` then keeps it from being sent. */
   private _abort (): void {
-    this._controller?.abort(new ExchangeError(ExchangeFailure.Cancelled, 'the exchange was cancelled'))
+    if (this._controller === undefined) this._reject(new ExchangeError(ExchangeFailure.Connect, 'the call was cancelled before it was sent'))
+    else this._controller.abort(new ExchangeError(ExchangeFailure.Cancelled, 'the exchange was cancelled'))
   }
 }
