Forward requests to another host while this one reaches no endpoint

Cause: a host only suspected endpoints one by one. It went on trying the best suspect for each request until the caller gave up, and drew no conclusion from all failures together. Class: local failures that are not combined into a state of the host, so that nothing else can take over. Ruled out: other hosts misled by the ones that are cut off (they served their callers), and connections that stay silent (new ones failed as well).

Change: ServiceReachability concludes from several endpoints in a row without a response that a service is out of reach, ReachabilityMonitor probes it, and PeerForwarder sends its requests to hosts that reach it, through a listener of their own (listen.peers). A host with an older configuration, or one that is cut off itself, does not take them. When no host does, callers are refused at once as not run.

--- a/packages/core/src/errors/JaymillError.ts
+++ b/packages/core/src/errors/JaymillError.ts
@@ -19,6 +19,7 @@
   Stopping = 'stopping',
   NotReady = 'not-ready',
   NoEndpoint = 'no-endpoint',
+  OutOfReach = 'out-of-reach',
   Deadline = 'deadline',
   CallerGone = 'caller-gone',
   EndpointFailed = 'endpoint-failed',
--- a/packages/core/src/errors/JaymillRequestError.ts
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -14,6 +14,7 @@
   [ErrorKind.Stopping]: 503,
   [ErrorKind.NotReady]: 503,
   [ErrorKind.NoEndpoint]: 503,
+  [ErrorKind.OutOfReach]: 503,
   [ErrorKind.Deadline]: 504,
   [ErrorKind.CallerGone]: 499,
   [ErrorKind.EndpointFailed]: 502,
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -266,3 +266,6 @@
 
 /** Time without a response of an endpoint after which its rate limit no longer counts, in milliseconds. */
 export const RATE_LIMIT_TTL_MS = 60_000
+
+/** Endpoints that can't be reached in a row, without a response of the service, for a host to have lost its paths to the service. */
+export const OUT_OF_REACH_ENDPOINTS = 3
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -11,6 +11,7 @@
 import { listenOn } from './callers/JaymillListener.js'
 import type { PlannedStop } from './callers/JaymillPlannedStop.js'
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
+import { ExchangeFailure } from './endpoints/JaymillExchangeError.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
 import { FleetState } from './fleet/JaymillFleetState.js'
 import { sourceTiming } from './fleet/JaymillSourceTiming.js'
@@ -18,14 +19,17 @@
 import { EndpointAdmission } from './forwarding/JaymillEndpointAdmission.js'
 import type { Forwarder } from './forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from './forwarding/JaymillForwardingContext.js'
+import { PeerForwarder } from './forwarding/JaymillPeerForwarder.js'
 import { PlainForwarder } from './forwarding/JaymillPlainForwarder.js'
 import { PromptForwarder } from './forwarding/JaymillPromptForwarder.js'
+import { ReachabilityMonitor } from './forwarding/JaymillReachabilityMonitor.js'
 import { RoleController } from './forwarding/JaymillRoleController.js'
 import { StreamForwarder } from './forwarding/JaymillStreamForwarder.js'
 import type { GatewayLog } from './logging/JaymillGatewayLog.js'
 import { GatewayMetrics } from './metrics/JaymillGatewayMetrics.js'
 import { DocumentExchange } from './peers/JaymillDocumentExchange.js'
 import { HostHeartbeats } from './peers/JaymillHostHeartbeats.js'
+import { PeerCalls } from './peers/JaymillPeerCalls.js'
 import type { WorkState } from './peers/JaymillZoneRelay.js'
 import type { EngineControl } from './ports/JaymillEngineControl.js'
 import type { FleetSource } from './ports/JaymillFleetSource.js'
@@ -128,7 +132,7 @@
     const documents = new DocumentExchange({ listen: listen.documents, state: this._state, follower: this._follower, clock, log })
     this._heartbeats.onNewerState((peer, message) => documents.scheduleFetch(peer, message))
     await Promise.all([
-      this._ingress.start(listen.caller, signal),
+      this._ingress.start(listen.caller, listen.peers, signal),
       this._startReadiness(signal),
       documents.start(signal),
       this._heartbeats.start(signal),
@@ -137,8 +141,12 @@
     this._roleController.start(signal)
     const { calls, dialect } = this._adapters
     calls.onResponse(({ endpoint, requestId }, { status, headers }) => {
+      this._forwardingContext.reachability.responded(endpoint)
       this._forwardingContext.admission.responded(endpoint, requestId, dialect.responseMetadata(status, headers))
     })
+    calls.onFailure(({ endpoint }, failure) => {
+      if (failure === ExchangeFailure.Connect || failure === ExchangeFailure.Broken) this._forwardingContext.reachability.unreachable(endpoint)
+    })
     this._watchMetrics()
   }
 
@@ -174,6 +182,10 @@
   private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
+    const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, log, signal: this._abort.signal })
+    const peerCalls = new PeerCalls({
+      port: this._settings.listen.peers?.port, peers: () => this._heartbeats.workingPeers, state: this._state, dialect, clock, random, log, metrics: this._metrics
+    })
     return {
       zone: this._settings.host.zone,
       clock,
@@ -190,6 +202,8 @@
       roleChanges,
       crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, hostCount: () => this._heartbeats.hostCount, share: () => this._heartbeats.evidenceAdded() }),
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
+      reachability,
+      peers: new PeerForwarder({ calls: peerCalls, reachability, clock, log, metrics: this._metrics }),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
@@ -241,6 +255,7 @@
 
   private _directoryChanged ({ event, record }: DirectoryChange): void {
     if (event === DirectoryEvent.Changed && record.stage !== undefined) this._roleController.roleChanged(record)
+    if (event === DirectoryEvent.Added) this._forwardingContext.reachability.endpointAdded(record)
     if (event !== DirectoryEvent.Removed) return
     this._forwardingContext.calls.closeConnections(record)
     this._forwardingContext.admission.forget(record)
@@ -254,7 +269,8 @@
       ready: () => this._phase === Phase.Ready,
       configVersion: () => this._state.version,
       hosts: () => this._heartbeats.livePeers.length + 1,
-      quarantined: () => this._forwardingContext.crashes.quarantinedCount
+      quarantined: () => this._forwardingContext.crashes.quarantinedCount,
+      outOfReach: () => this._forwardingContext.reachability.lostCount
     })
   }
 
--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -2,6 +2,7 @@
 import { isCloseDelimited, JaymillError, mayHaveBody, toProblem } from '@jaymill/core'
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { RESET_DELAY_MS } from './constants.js'
+import { isForwardedHeader } from './JaymillForwardedRequest.js'
 
 const HOP_BY_HOP_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer', 'transfer-encoding', 'upgrade'
@@ -30,7 +31,7 @@
 export function forwardedHeaders (rawHeaders: readonly string[], isReserved: (name: string) => boolean): string[] {
   const pairs = rawHeaders.flatMap((name, i) => i % 2 === 0 ? [[name, rawHeaders[i + 1] ?? ''] as const] : [])
   return pairs
-    .filter(([name]) => isForwarded(name.toLowerCase()) && !isReserved(name.toLowerCase()))
+    .filter(([name]) => isForwarded(name.toLowerCase()) && !isForwardedHeader(name.toLowerCase()) && !isReserved(name.toLowerCase()))
     .flat()
 }
 
--- a/packages/gateway/src/callers/JaymillGatewayRequest.ts
+++ b/packages/gateway/src/callers/JaymillGatewayRequest.ts
@@ -23,6 +23,8 @@
   /** Version of the configuration that applies to the request. */
   readonly version: number
   readonly body: Buffer | null
+  /** Whether another host has forwarded it, because it reaches no endpoint of the service. */
+  readonly fromPeer: boolean
   /** Monotonic time at which the request header was received, in milliseconds. */
   readonly arrivedMs: number
   /** Monotonic time at which the request times out, in milliseconds. */
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -6,6 +6,7 @@
 import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
 import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES } from './constants.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
+import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { listenOn } from './JaymillListener.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
@@ -23,11 +24,20 @@
   readonly abort: AbortController
 }
 
-/** Listener for callers. Reads requests, matches them to routes and passes them to forwarders. */
+/** A request's route, with the configuration that it comes from. */
+interface RoutedRequest {
+  readonly route: GatewayRoute
+  readonly service: GatewayService
+  readonly version: number
+  readonly config: GatewayConfig
+}
+
+/** Listeners for callers and for requests that other hosts forward. Reads requests, matches them to routes and passes them to forwarders. */
 export class Ingress {
   private readonly _context: ForwardingContext
   private readonly _selectForwarder: ForwarderSelector
   private readonly _server: Server
+  private readonly _peerServer: Server
   private readonly _running = new Set<RunningRequest>()
 
   /**
@@ -38,7 +48,9 @@
     this._context = context
     this._selectForwarder = selectForwarder
     const options = { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, requestTimeout: 0 }
-    this._server = createServer(options, (req, res) => { this._serve(req, res).catch(err => this._drop(req, res, err)) })
+    const serverFor = (fromPeer: boolean): Server => createServer(options, (req, res) => { this._serve(req, res, fromPeer).catch(err => this._drop(req, res, err)) })
+    this._server = serverFor(false)
+    this._peerServer = serverFor(true)
   }
 
   /** Number of requests in progress. */
@@ -49,12 +61,14 @@
   /**
    * Starts to listen.
    *
-   * @param listen - Address to listen on.
-   * @param signal - Closes the listener and its connections, and breaks off the responses in progress.
+   * @param listen - Address to listen on for callers.
+   * @param peers - Address to listen on for other hosts; `undefined` when this host accepts no forwarded requests.
+   * @param signal - Closes the listeners and their connections, and breaks off the responses in progress.
    */
-  async start (listen: SocketAddress, signal: AbortSignal): Promise<void> {
+  async start (listen: SocketAddress, peers: SocketAddress | undefined, signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this._running.forEach(({ res }) => abortResponse(res, 0)), { once: true })
     await listenOn(this._server, listen, signal)
+    if (peers !== undefined) await listenOn(this._peerServer, peers, signal)
   }
 
   /**
@@ -76,7 +90,7 @@
     })
   }
 
-  private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+  private async _serve (req: IncomingMessage, res: ServerResponse, fromPeer: boolean): Promise<void> {
     const arrivedMs = this._context.clock.nowMs()
     const metadata = this._context.dialect.requestMetadata(req.headers)
     const abort = new AbortController()
@@ -85,13 +99,13 @@
     res.once('close', () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) res.setHeader('Connection', 'close')
     try {
-      const { route, service, version, config } = this._route(req)
+      const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
-      const request = { id, req, res, route, service, metadata, keys: runKeysOf(req, body, metadata), version, body, arrivedMs, deadlineMs, signal }
+      const request = { id, req, res, route, service, metadata, keys: runKeysOf(req, body, metadata), version, body, fromPeer, arrivedMs, deadlineMs, signal }
       const forwarder = this._selectForwarder(request)
       forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
@@ -100,12 +114,12 @@
     }
   }
 
-  private _route (req: IncomingMessage): { route: GatewayRoute, service: GatewayService, version: number, config: GatewayConfig } {
+  private _route (req: IncomingMessage, fromPeer = false): RoutedRequest {
     const { config, table } = this._context.state
     if (config === undefined || table === undefined) {
       throw new RequestError(ErrorKind.NotReady, 'no configuration has been received yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     }
-    checkHeaderSize(req, config.limits.maxHeaderBytes)
+    if (!fromPeer) checkHeaderSize(req, config.limits.maxHeaderBytes)
     const route = table.find(req.headers.host ?? '', req.url ?? '')
     if (route === undefined) throw new RequestError(ErrorKind.NotFound, 'no route matches')
     const name = chooseTarget(route.targets, this._context.random)
@@ -113,6 +127,16 @@
     return { route, service, version: config.version, config }
   }
 
+  /** A host with an older configuration takes no forwarded request: its caller may have seen the newer one in force. */
+  private _routeForwarded (req: IncomingMessage): RoutedRequest {
+    const metadata = readForwardedMetadata(req.headers)
+    if (this._context.state.version < metadata.configVersion) {
+      throw new RequestError(ErrorKind.NotReady, 'the configuration of this host is older', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
+    }
+    const routed = this._route(req, true)
+    return { ...routed, route: limitAttempts(routed.route, metadata) }
+  }
+
   /** Aborts a request when its caller disconnects or its time is over. Returns the monotonic time of the latter, in milliseconds. */
   private _startTimeLimit ({ res, arrivedMs, abort }: RunningRequest, route: GatewayRoute, callerDeadlineMs: number | undefined): number {
     const ms = Math.min(route.timeoutMs, callerDeadlineMs ?? route.timeoutMs)
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -26,11 +26,15 @@
 /** Called with each call whose response has begun. */
 export type ResponseListener = (call: EndpointCall, response: StreamedResponse) => void
 
+/** Called with each call that got no response and was not cancelled. */
+export type FailureListener = (call: EndpointCall, failure: ExchangeFailure) => void
+
 /** Makes HTTP calls to endpoints, over keep-alive connections where that is safe. */
 export class EndpointCalls {
   private readonly _pools = new Map<string, Pool>()
   private readonly _connector = new ResetTrackingConnector()
   private readonly _responseListeners: ResponseListener[] = []
+  private readonly _failureListeners: FailureListener[] = []
 
   /**
    * Adds a listener for responses.
@@ -41,6 +45,15 @@
     this._responseListeners.push(listener)
   }
 
+  /**
+   * Adds a listener for failures.
+   *
+   * @param listener - Called when a call has failed before the head of its response.
+   */
+  onFailure (listener: FailureListener): void {
+    this._failureListeners.push(listener)
+  }
+
   /**
    * Sends a call and streams its response.
    *
@@ -55,9 +68,14 @@
     const response = new Promise<StreamedResponse>((resolve, reject) => {
       dispatcher.dispatch(toOptions(call), new ResponseHandler(signal, resolve, reject, this._connector))
     })
-    const opened = call.ownConnection ? await closeWithBody(dispatcher as Client, response) : await response
-    this._responseListeners.forEach(listener => listener(call, opened))
-    return opened
+    try {
+      const opened = call.ownConnection ? await closeWithBody(dispatcher as Client, response) : await response
+      this._responseListeners.forEach(listener => listener(call, opened))
+      return opened
+    } catch (err) {
+      if (err instanceof ExchangeError && !signal.aborted) this._failureListeners.forEach(listener => listener(call, err.failure))
+      throw err
+    }
   }
 
   /**
--- a/packages/gateway/src/forwarding/JaymillEngineReservations.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineReservations.ts
@@ -54,7 +54,7 @@
   }
 
   private async _reserveAt (request: GatewayRequest, endpoint: EndpointRecord, prefillMs: number): Promise<Reservation | undefined> {
-    const { engines, log, metrics, load, loadAgeMs, clock, admission } = this._context
+    const { engines, log, metrics, load, loadAgeMs, clock, admission, reachability } = this._context
     const limit = new TimeLimit(request.signal, RESERVE_TIMEOUT_MS)
     const startMs = clock.nowMs()
     this._probeLimiter.recordProbe(endpoint.id, startMs)
@@ -79,7 +79,10 @@
       return reservation
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err
-      if (!request.signal.aborted) this._onUnreachable(endpoint)
+      if (!request.signal.aborted) {
+        this._onUnreachable(endpoint)
+        if (limit.signal.aborted) reachability.unreachable(endpoint)
+      }
       metrics.recordCall('reserve', err.failure)
       log.request(request.id, 'reservation', { endpoint: endpoint.id, outcome: err.failure, reason: err.message, ms: Math.round(clock.nowMs() - startMs) })
       return undefined
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,8 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RanState, RequestError, sampleEndpoints, sampleSize } from '@jaymill/core'
+import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, sampleEndpoints, sampleSize } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
-import { AbortReason, type GatewayRequest } from '../callers/JaymillGatewayRequest.js'
+import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
 import type { CallMetadata } from '../ports/JaymillWireDialect.js'
 import { PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
@@ -151,6 +151,12 @@
     }))
   }
 
+  /** Counts a caller's request towards the retry budget. The host that forwards a request has counted it. */
+  protected _countRequest ({ service, fromPeer }: GatewayRequest): void {
+    const { budget, clock } = this._context
+    if (!fromPeer) budget.countRequest(service.name, clock.nowMs())
+  }
+
   protected _spendRetry (request: GatewayRequest): boolean {
     const { budget, hostCount, clock, log } = this._context
     const spent = budget.trySpend(request.service.name, hostCount(), clock.nowMs())
@@ -174,14 +180,6 @@
     signal.addEventListener('abort', scheduleHeartbeat, { once: true })
   }
 
-  protected _abortError (request: GatewayRequest, mayHaveRun: boolean): RequestError {
-    if (request.signal.reason === AbortReason.CallerGone) return new RequestError(ErrorKind.CallerGone, 'the caller has disconnected')
-    if (request.signal.reason === AbortReason.Stopped) return stoppedError(mayHaveRun)
-    return mayHaveRun
-      ? new RequestError(ErrorKind.Deadline, 'no answer in time')
-      : new RequestError(ErrorKind.Overloaded, 'no endpoint had free capacity in time', { retryAfterMs: 0 })
-  }
-
   /**
    * Creates the error for a request that no endpoint has run.
    *
@@ -200,9 +198,3 @@
     return Math.round(this._context.clock.nowMs() - arrivedMs)
   }
 }
-
-function stoppedError (mayHaveRun: boolean): RequestError {
-  return mayHaveRun
-    ? new RequestError(ErrorKind.Deadline, 'the host stopped before an answer arrived', { ran: RanState.Unknown })
-    : new RequestError(ErrorKind.Stopping, 'the host stopped before the request ran', { retryAfterMs: 0 })
-}
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -8,6 +8,8 @@
 import type { WireDialect } from '../ports/JaymillWireDialect.js'
 import type { CrashGuard } from './JaymillCrashGuard.js'
 import type { EndpointAdmission } from './JaymillEndpointAdmission.js'
+import type { PeerForwarder } from './JaymillPeerForwarder.js'
+import type { ReachabilityMonitor } from './JaymillReachabilityMonitor.js'
 
 /** Components of the host that forwarders use. */
 export interface ForwardingContext {
@@ -30,6 +32,8 @@
   readonly roleChanges: PendingRoleChanges
   readonly crashes: CrashGuard
   readonly admission: EndpointAdmission
+  readonly reachability: ReachabilityMonitor
+  readonly peers: PeerForwarder
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
   /** Planned stop of this host; `undefined` unless it is shutting down. */
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -0,0 +1,122 @@
+import { ErrorKind, RanState, RequestError, type Clock } from '@jaymill/core'
+import { abortError } from '../callers/JaymillAbortError.js'
+import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
+import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
+import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
+import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
+import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
+import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
+import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
+import type { PeerCallOptions, PeerCalls, PeerResponse } from '../peers/JaymillPeerCalls.js'
+import { OUT_OF_REACH_RETRY_AFTER_MS, PEER_STREAM_IDLE_TIMEOUT_MS } from './constants.js'
+import type { ReachabilityMonitor } from './JaymillReachabilityMonitor.js'
+import { ResponseVerdict } from './JaymillResponseVerdict.js'
+import { RelayOutcome, type StreamRelay } from './JaymillStreamRelay.js'
+
+/** Dependencies of the forwarder. */
+export interface PeerForwarderContext {
+  readonly calls: PeerCalls
+  readonly reachability: ReachabilityMonitor
+  readonly clock: Clock
+  readonly log: GatewayLog
+  readonly metrics: GatewayMetrics
+}
+
+/** Serves requests through other hosts while this one reaches no endpoint of their service. */
+export class PeerForwarder {
+  private readonly _context: PeerForwarderContext
+
+  /**
+   * @param context - Dependencies.
+   */
+  constructor (context: PeerForwarderContext) {
+    this._context = context
+  }
+
+  /**
+   * Tells whether a request has to be forwarded. One that comes from another host is refused instead, so that it can't go in circles.
+   *
+   * @param request - The request.
+   * @returns Whether this host reaches no endpoint of its service, while others may.
+   * @throws RequestError of kind `OutOfReach` for a request of another host.
+   */
+  shouldForward (request: GatewayRequest): boolean {
+    const { reachability, calls } = this._context
+    if (!reachability.isOutOfReach(request.service.name)) return false
+    if (request.fromPeer) throw outOfReachError()
+    return calls.enabled
+  }
+
+  /**
+   * Forwards a plain request and responds with the result. The other host retries it; it is not forwarded twice, since nothing tells
+   * how many endpoints have run it when that host fails.
+   *
+   * @param request - The request.
+   * @param attempts - Number of endpoints that may run it.
+   * @throws RequestError when there is no response of an endpoint.
+   */
+  async forwardPlain (request: GatewayRequest, attempts: number): Promise<void> {
+    const { log, metrics } = this._context
+    const { response: { status, headers, body } } = await this._open(request, { attempts }, false)
+    const bytes = await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) })
+    sendResponse(request.res, { status, headers, body: bytes })
+    const ms = this._elapsedMs(request)
+    metrics.recordResponse(request.route.kind, status, ms)
+    log.request(request.id, 'answered', { status, route: request.route.name, ms, config: request.version })
+  }
+
+  /**
+   * Forwards a stream and relays its events. The other host resumes it when an endpoint fails.
+   *
+   * @param request - The request.
+   * @param relay - Relay to the caller, which may have sent events already.
+   * @param runs - Calls that may have run the request already.
+   * @throws RequestError when the stream can't be completed.
+   */
+  async forwardStream (request: GatewayRequest, relay: StreamRelay, runs: number): Promise<void> {
+    const { metrics, log } = this._context
+    const opened = await this._open(request, { attempts: request.route.maxAttempts - runs, lastEventId: relay.lastEventId }, runs > 0 || relay.started)
+    const { peer, response, verdict } = opened
+    if (verdict === ResponseVerdict.Failed && !relay.started) {
+      sendResponse(request.res, { ...response, body: await bufferBody(response.body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) }) })
+      return
+    }
+    const end = await this._relay(request, relay, opened)
+    response.body.destroy()
+    log.request(request.id, 'stream ended', { peer, end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
+    if (end === RelayOutcome.Complete) metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
+    if (end === RelayOutcome.Aborted) abortResponse(request.res)
+    if (end === RelayOutcome.Broken) throw this._failed(request)
+  }
+
+  private async _relay (request: GatewayRequest, relay: StreamRelay, { response, verdict }: PeerResponse): Promise<RelayOutcome> {
+    if (verdict === ResponseVerdict.Failed) return RelayOutcome.Broken
+    return await relay.forward(response, request.route.resumable ? PEER_STREAM_IDLE_TIMEOUT_MS : undefined, {
+      onFirst: () => this._context.metrics.recordFirstEvent(this._elapsedMs(request)),
+      onEvents: () => { /* The other host tracks the run. */ }
+    })
+  }
+
+  /** A request of another host is not forwarded again. */
+  private async _open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse> {
+    if (request.fromPeer) throw outOfReachError()
+    const opened = await this._context.calls.open(request, options).catch(err => { throw this._failed(request, err) })
+    if (opened !== undefined) return opened
+    if (request.signal.aborted) throw abortError(request, mayHaveRun)
+    throw mayHaveRun ? this._failed(request) : outOfReachError()
+  }
+
+  private _failed (request: GatewayRequest, cause?: unknown): Error {
+    if (cause !== undefined && !(cause instanceof ExchangeError)) return cause as Error
+    if (request.signal.aborted) return abortError(request, true)
+    return new RequestError(ErrorKind.EndpointFailed, 'no complete response arrived through another host', { ran: RanState.Unknown, cause })
+  }
+
+  private _elapsedMs ({ arrivedMs }: GatewayRequest): number {
+    return Math.round(this._context.clock.nowMs() - arrivedMs)
+  }
+}
+
+function outOfReachError (): RequestError {
+  return new RequestError(ErrorKind.OutOfReach, 'no endpoint is in reach', { retryAfterMs: OUT_OF_REACH_RETRY_AFTER_MS })
+}
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -1,6 +1,7 @@
 import {
   CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord
 } from '@jaymill/core'
+import { abortError } from '../callers/JaymillAbortError.js'
 import { endedWithConnection, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
@@ -40,23 +41,25 @@
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
     this._context.crashes.admit(request)
-    this._context.budget.countRequest(request.service.name, this._context.clock.nowMs())
-    await this._tryNext(request, { tried: [] })
+    this._countRequest(request)
+    if (this._context.peers.shouldForward(request)) await this._context.peers.forwardPlain(request, request.route.maxAttempts)
+    else await this._tryNext(request, { tried: [] })
   }
 
   private async _tryNext (request: GatewayRequest, progress: Progress): Promise<void> {
     const endpoint = this._mayTry(request, progress) ? await this._selectEndpoint(request, progress.tried.map(({ endpoint }) => endpoint.id)) : undefined
     if (endpoint === undefined) {
-      this._finish(request, progress)
+      await this._finish(request, progress)
       return
     }
     const attempt = await this._attempt(request, endpoint, progress)
-    if (attempt.verdict === ResponseVerdict.Success) this._finish(request, { tried: [...progress.tried, attempt] })
+    if (attempt.verdict === ResponseVerdict.Success) await this._finish(request, { tried: [...progress.tried, attempt] })
     else await this._tryNext(request, { tried: [...progress.tried, attempt] })
   }
 
   private _mayTry (request: GatewayRequest, { tried }: Progress): boolean {
     if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS) return false
+    if (tried.length > 0 && this._context.reachability.isOutOfReach(request.service.name)) return false
     const runs = tried.filter(({ verdict }) => verdict !== ResponseVerdict.NotRun).length
     if (runs > 0 && !isIdempotent(request.route)) return false
     if (runs >= request.route.maxAttempts || tried.length >= MAX_TRIED_ENDPOINTS) return false
@@ -108,15 +111,19 @@
     return { endpoint, verdict: err.ran === RanState.No ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, failure: err.failure }
   }
 
-  private _finish (request: GatewayRequest, { tried }: Progress): void {
+  private async _finish (request: GatewayRequest, { tried }: Progress): Promise<void> {
     const usable = [...tried].reverse().find(({ verdict }) => verdict === ResponseVerdict.Success || verdict === ResponseVerdict.Failed)
     if (usable?.response !== undefined) {
       this._respond(request, usable.response)
       return
     }
     const mayHaveRun = tried.some(({ verdict }) => verdict !== ResponseVerdict.NotRun)
-    if (request.signal.aborted) throw this._abortError(request, mayHaveRun)
+    if (request.signal.aborted) throw abortError(request, mayHaveRun)
     if (mayHaveRun) throw new RequestError(ErrorKind.EndpointFailed, 'the endpoint gave no usable answer', { ran: RanState.Unknown })
+    if (tried.length > 0 && tried.every(({ failure }) => failure === ExchangeFailure.Connect)) {
+      await this._context.peers.forwardPlain(request, request.route.maxAttempts)
+      return
+    }
     throw this._noEndpointError(request, tried.map(({ endpoint }) => endpoint.id))
   }
 
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -2,6 +2,7 @@
   callerTimeoutMs, CallOutcome, CapacityProbeLimiter, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement,
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions
 } from '@jaymill/core'
+import { abortError } from '../callers/JaymillAbortError.js'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -59,13 +60,18 @@
 
   /** {@inheritDoc Forwarder.forward} */
   async forward (original: GatewayRequest): Promise<void> {
-    const { budget, demand, clock, crashes } = this._context
+    const { demand, clock, crashes, peers } = this._context
     const request = this._estimates.withExpectedOutput(original)
     const hintTokens = original.metadata.prompt?.expectedOutputTokens ?? 0
     crashes.admit(request)
-    budget.countRequest(request.service.name, clock.nowMs())
+    this._countRequest(request)
+    const relay = new StreamRelay(request)
+    if (peers.shouldForward(request)) {
+      await peers.forwardStream(request, relay, 0)
+      return
+    }
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
-    await this._round(request, { relay: new StreamRelay(request), hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
+    await this._round(request, { relay, hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
   }
 
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
@@ -74,6 +80,10 @@
     let engineId: string | undefined
     try {
       const reservation = await this._reserve(request, progress)
+      if (reservation === undefined) {
+        await this._context.peers.forwardStream(request, progress.relay, progress.runs)
+        return
+      }
       engineId = reservation.endpoint.id
       this._trackLoad(reservation.endpoint, kvTokensOf(request), reservationEnded.signal)
       const needsAnotherRound = await this._run(request, progress, reservation)
@@ -94,8 +104,11 @@
     return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._spendRetry(request)
   }
 
-  private async _reserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation> {
-    const { arrivedMs, route, signal, metadata } = request
+  /** Returns `undefined` when this host has lost its paths to the engines and another host has to serve the request. */
+  private async _reserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation | undefined> {
+    const { arrivedMs, route, signal, metadata, service } = request
+    const { peers, reachability } = this._context
+    if (peers.shouldForward(request)) return undefined
     const nowMs = this._context.clock.nowMs()
     const isRetry = (metadata.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETRY_DEADLINE_SHARE
     const firstEventMs = this._expectedFirstEventMs(request)
@@ -110,12 +123,14 @@
       tokens: kvTokensOf(request),
       cost: kvTokensOf(request) * (metadata.prompt?.expectedOutputTokens ?? 0),
       isRetry: isRetry || progress.rounds > 1,
-      signal,
+      signal: AbortSignal.any([signal, reachability.lostSignal(service.name)]),
       reserve: async () => await this._tryReserve(request, progress)
     })
     if (reservation !== undefined && !signal.aborted) return reservation
     if (reservation !== undefined) this._reservations.release(request, reservation, undefined)
-    if (signal.aborted || progress.relay.started) throw this._finalError(request, progress)
+    if (signal.aborted) throw this._finalError(request, progress)
+    if (peers.shouldForward(request)) return undefined
+    if (progress.relay.started) throw this._finalError(request, progress)
     throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
 
@@ -369,7 +384,7 @@
   }
 
   private _finalError (request: GatewayRequest, { runs, relay }: PromptProgress): RequestError {
-    if (request.signal.aborted) return this._abortError(request, runs > 0 || relay.started)
+    if (request.signal.aborted) return abortError(request, runs > 0 || relay.started)
     if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no engine returned a complete response', { ran: RanState.Unknown })
     return new RequestError(ErrorKind.Overloaded, 'no engine ran the request', { retryAfterMs: BUSY_RETRY_AFTER_MS })
   }
--- /dev/null
+++ b/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
@@ -0,0 +1,150 @@
+import { ServiceReachability, type Clock, type EndpointRecord } from '@jaymill/core'
+import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
+import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
+import type { FleetState } from '../fleet/JaymillFleetState.js'
+import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
+import type { WireDialect } from '../ports/JaymillWireDialect.js'
+import { PROBE_FIRST_MS, PROBE_MAX_MS, PROBE_RELAPSE_MS, PROBE_TIMEOUT_MS } from './constants.js'
+
+/** Dependencies of the monitor. */
+export interface ReachabilityMonitorContext {
+  readonly state: FleetState
+  readonly calls: EndpointCalls
+  readonly dialect: WireDialect
+  readonly clock: Clock
+  readonly log: GatewayLog
+  /** Ends the probes. */
+  readonly signal: AbortSignal
+}
+
+/** Probes of a service that is or was out of reach. */
+interface ServiceProbes {
+  /** Monotonic time since which the service is out of reach, or was the last time, in milliseconds. */
+  readonly sinceMs: number
+  /** Monotonic time at which it was in reach again, in milliseconds. */
+  endedMs: number | undefined
+  readonly intervalMs: number
+  sent: number
+  timer: NodeJS.Timeout | undefined
+}
+
+/**
+ * Knows which services this host has lost its paths to, and probes one of their endpoints from time to time until one responds.
+ * While a service is out of reach, its requests are not tried here.
+ */
+export class ReachabilityMonitor {
+  private readonly _context: ReachabilityMonitorContext
+  private readonly _reachability = new ServiceReachability()
+  private readonly _probes = new Map<string, ServiceProbes>()
+  private readonly _lost = new Map<string, AbortController>()
+
+  /**
+   * @param context - Dependencies.
+   */
+  constructor (context: ReachabilityMonitorContext) {
+    this._context = context
+  }
+
+  /** Number of services that are out of reach. */
+  get lostCount (): number {
+    return this._reachability.outOfReach.length
+  }
+
+  /**
+   * @param service - Name of a service.
+   * @returns Whether it has endpoints, and this host has lost its paths to them.
+   */
+  isOutOfReach (service: string): boolean {
+    return this._reachability.isOutOfReach(service) && this._context.state.directory.usable(service).length > 0
+  }
+
+  /**
+   * @param service - Name of a service that is in reach.
+   * @returns Signal that aborts when this host loses its paths to it.
+   */
+  lostSignal (service: string): AbortSignal {
+    const lost = this._lost.get(service) ?? new AbortController()
+    this._lost.set(service, lost)
+    return lost.signal
+  }
+
+  /**
+   * Records that an endpoint could not be reached.
+   *
+   * @param endpoint - The endpoint.
+   */
+  unreachable ({ id, service, stage }: EndpointRecord): void {
+    const { state, calls, clock, log } = this._context
+    const endpoints = state.directory.usable(service)
+    // Engines of one role may be the only ones that requests get to.
+    const alike = endpoints.filter(record => record.stage === stage).length
+    if (!this._reachability.recordFailure(service, id, alike)) return
+    const nowMs = clock.nowMs()
+    const before = this._probes.get(service)
+    const relapsed = before?.endedMs !== undefined && nowMs - before.endedMs < PROBE_RELAPSE_MS
+    const intervalMs = relapsed ? Math.min(PROBE_MAX_MS, 2 * before.intervalMs) : PROBE_FIRST_MS
+    log.stateChange('service out of reach', { service, endpoints: endpoints.length, last: id, directory: state.directory.revision })
+    this._probes.set(service, { sinceMs: nowMs, endedMs: undefined, intervalMs, sent: before?.sent ?? 0, timer: undefined })
+    endpoints.forEach(endpoint => calls.closeConnections(endpoint))
+    this._scheduleProbe(service)
+    this._lost.get(service)?.abort()
+    this._lost.delete(service)
+  }
+
+  /**
+   * Records that an endpoint has responded.
+   *
+   * @param endpoint - The endpoint.
+   */
+  responded ({ id, service }: EndpointRecord): void {
+    const { clock, log } = this._context
+    if (!this._reachability.recordResponse(service)) return
+    const probes = this._probes.get(service)
+    if (probes === undefined) return
+    clearTimeout(probes.timer)
+    probes.endedMs = clock.nowMs()
+    log.stateChange('service in reach again', { service, endpoint: id, ms: Math.round(probes.endedMs - probes.sinceMs), probes: probes.sent })
+  }
+
+  /**
+   * Probes a service that is out of reach at once, because an endpoint of it is new.
+   *
+   * @param endpoint - The endpoint.
+   */
+  endpointAdded ({ service }: EndpointRecord): void {
+    if (!this._reachability.isOutOfReach(service)) return
+    clearTimeout(this._probes.get(service)?.timer)
+    this._probe(service)
+  }
+
+  private _scheduleProbe (service: string): void {
+    const probes = this._probes.get(service)
+    if (probes === undefined || this._context.signal.aborted || !this._reachability.isOutOfReach(service)) return
+    probes.timer = setTimeout(() => this._probe(service), probes.intervalMs).unref()
+  }
+
+  /**
+   * A response of any status shows that the endpoint is in reach; the listener of the calls passes it to `responded`. A service
+   * without endpoints is no longer out of reach: the next one to be published is tried like any other.
+   */
+  private _probe (service: string): void {
+    const { state, calls, dialect, signal } = this._context
+    const endpoints = state.directory.usable(service)
+    const probes = this._probes.get(service)
+    const endpoint = endpoints[(probes?.sent ?? 0) % Math.max(1, endpoints.length)]
+    if (probes === undefined || endpoint === undefined) {
+      this._reachability.recordResponse(service)
+      return
+    }
+    probes.sent += 1
+    const limit = new TimeLimit(signal, PROBE_TIMEOUT_MS)
+    const path = state.table?.service(service)?.healthPath ?? '/'
+    const headers = [...dialect.callHeaders({ endpointId: endpoint.id, deadlineMs: PROBE_TIMEOUT_MS })]
+    calls.open({ endpoint, method: 'GET', path, headers, body: null, ownConnection: true }, limit.signal)
+      .then(({ body }) => { body.destroy() }, () => { /* The endpoint is still out of reach. */ })
+      .finally(() => {
+        limit.dispose()
+        this._scheduleProbe(service)
+      })
+  }
+}
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,4 +1,5 @@
 import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
+import { abortError } from '../callers/JaymillAbortError.js'
 import { abortResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
@@ -13,6 +14,8 @@
   readonly relay: StreamRelay
   readonly tried: readonly string[]
   readonly runs: number
+  /** Whether no endpoint tried so far could be reached. */
+  readonly unreachable: boolean
 }
 
 /** Forwards streams of services whose endpoints are not engines of separate prefill and decode pools. */
@@ -25,22 +28,27 @@
   /** {@inheritDoc Forwarder.forward} */
   async forward (request: GatewayRequest): Promise<void> {
     this._context.crashes.admit(request)
-    this._context.budget.countRequest(request.service.name, this._context.clock.nowMs())
-    await this._tryNext(request, { relay: new StreamRelay(request), tried: [], runs: 0 })
+    this._countRequest(request)
+    const relay = new StreamRelay(request)
+    if (this._context.peers.shouldForward(request)) await this._context.peers.forwardStream(request, relay, 0)
+    else await this._tryNext(request, { relay, tried: [], runs: 0, unreachable: true })
   }
 
   private async _tryNext (request: GatewayRequest, progress: StreamProgress): Promise<void> {
     const endpoint = this._mayTry(request, progress) ? await this._selectEndpoint(request, progress.tried) : undefined
-    if (endpoint === undefined) throw this._finalError(request, progress)
+    if (endpoint === undefined) {
+      await this._finish(request, progress)
+      return
+    }
     const finished = new AbortController()
     this._trackLoad(endpoint, 0, finished.signal)
-    const { end, ran } = await this._attempt(request, endpoint, progress).finally(() => finished.abort())
+    const { end, ran, failure } = await this._attempt(request, endpoint, progress).finally(() => finished.abort())
     if (end === RelayOutcome.Aborted) abortResponse(request.res)
     if (end !== RelayOutcome.Broken) return
-    await this._tryNext(request, { relay: progress.relay, tried: [...progress.tried, endpoint.id], runs: progress.runs + Number(ran) })
+    await this._tryNext(request, { relay: progress.relay, tried: [...progress.tried, endpoint.id], runs: progress.runs + Number(ran), unreachable: progress.unreachable && failure === ExchangeFailure.Connect })
   }
 
-  private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { relay }: StreamProgress): Promise<{ end: RelayOutcome, ran: boolean }> {
+  private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { relay }: StreamProgress): Promise<{ end: RelayOutcome, ran: boolean, failure?: ExchangeFailure }> {
     const { calls, dialect, log, metrics, crashes } = this._context
     const metadata = relay.lastEventId === undefined ? {} : { lastEventId: relay.lastEventId }
     const run = crashes.track(request, endpoint)
@@ -58,7 +66,7 @@
       metrics.recordCall('stream', err.failure)
       if (!request.signal.aborted) this._recordOutcome(endpoint, CallOutcome.Unreachable)
       if (err.failure === ExchangeFailure.Broken) crashes.brokeOff(run)
-      return { end: RelayOutcome.Broken, ran: err.ran !== RanState.No }
+      return { end: RelayOutcome.Broken, ran: err.ran !== RanState.No, failure: err.failure }
     }
   }
 
@@ -76,12 +84,18 @@
 
   private _mayTry (request: GatewayRequest, { tried, runs, relay }: StreamProgress): boolean {
     if (!relay.acceptsRun || request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
+    if (tried.length > 0 && this._context.reachability.isOutOfReach(request.service.name)) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
     return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request)))
   }
 
+  private async _finish (request: GatewayRequest, progress: StreamProgress): Promise<void> {
+    if (progress.tried.length === 0 || !progress.unreachable || request.signal.aborted) throw this._finalError(request, progress)
+    await this._context.peers.forwardStream(request, progress.relay, progress.runs)
+  }
+
   private _finalError (request: GatewayRequest, { tried, runs, relay }: StreamProgress): RequestError {
-    if (request.signal.aborted) return this._abortError(request, runs > 0 || relay.started)
+    if (request.signal.aborted) return abortError(request, runs > 0 || relay.started)
     if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no endpoint returned a complete response', { ran: RanState.Unknown })
     return this._noEndpointError(request, tried)
   }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -96,3 +96,27 @@
 
 /** Maximum number of parts of a prompt in a log line. */
 export const MAX_LOGGED_PARTS = 8
+
+/** Interval between probes of a service that is out of reach, in milliseconds. */
+export const PROBE_FIRST_MS = 500
+
+/** Longest interval between probes of a service that gets out of reach again and again, in milliseconds. */
+export const PROBE_MAX_MS = 4_000
+
+/** Time within which a service that gets out of reach again is probed less often, in milliseconds; a few probes. */
+export const PROBE_RELAPSE_MS = 5_000
+
+/** Time limit of a probe, in milliseconds; a busy endpoint still responds to its health check. */
+export const PROBE_TIMEOUT_MS = 1_000
+
+/** Time after which a caller may retry when no host reaches an endpoint, in milliseconds; one probe. */
+export const OUT_OF_REACH_RETRY_AFTER_MS = 500
+
+/** Maximum number of hosts that a request is forwarded to, one after the other. */
+export const MAX_TRIED_PEERS = 8
+
+/** Time for which a host that could not take a forwarded request gets no more of the same service, in milliseconds. */
+export const PEER_PAUSE_MS = 1_000
+
+/** Idle time after which a stream that another host forwards is broken off, in milliseconds; that host resumes it once before. */
+export const PEER_STREAM_IDLE_TIMEOUT_MS = 3_000
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -14,6 +14,7 @@
   readonly configVersion: () => number
   readonly hosts: () => number
   readonly quarantined: () => number
+  readonly outOfReach: () => number
 }
 
 /** Metrics of one host. Labels are kinds and outcomes, never ids. */
@@ -22,6 +23,7 @@
   private readonly _responses: Counter
   private readonly _refusals: Counter
   private readonly _calls: Counter
+  private readonly _forwarded: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
 
@@ -30,6 +32,7 @@
     this._responses = new Counter({ name: 'jaymill_answers_total', help: 'Answers of endpoints passed on.', labelNames: ['kind', 'status'], registers })
     this._refusals = new Counter({ name: 'jaymill_refusals_total', help: 'Requests answered by the host itself.', labelNames: ['kind'], registers })
     this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
+    this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
     this._latency = new Histogram({
       name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
     })
@@ -48,6 +51,7 @@
     this._gauge('jaymill_ready', '1 when the host takes new work.', () => Number(gauges.ready()))
     this._gauge('jaymill_config_version', 'Version of the configuration in force.', gauges.configVersion)
     this._gauge('jaymill_hosts', 'Hosts heard lately, this one included.', gauges.hosts)
+    this._gauge('jaymill_services_out_of_reach', 'Services whose endpoints this host can not reach.', gauges.outOfReach)
     this._gauge('jaymill_quarantined', 'Requests and parts of prompts that are refused because they crash endpoints.', gauges.quarantined)
   }
 
@@ -91,6 +95,15 @@
     this._calls.inc({ call, outcome })
   }
 
+  /**
+   * Records a request that was sent to another host.
+   *
+   * @param outcome - Outcome of the call.
+   */
+  recordForwarded (outcome: string): void {
+    this._forwarded.inc({ outcome })
+  }
+
   /**
    * Serves the metrics in the text format of Prometheus.
    *
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -34,8 +34,8 @@
 export interface CallMetadata {
   /** Remaining time of the request, in milliseconds. */
   readonly deadlineMs: number
-  /** Id of the intended endpoint; any other endpoint at the address refuses the call. */
-  readonly endpointId: string
+  /** Id of the intended endpoint; any other endpoint at the address refuses the call. Absent when another host chooses it. */
+  readonly endpointId?: string
   /** Set when the call only prefills the prompt. */
   readonly role?: EngineRole.Prefill
   readonly kvSource?: KvSource
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -27,7 +27,8 @@
     ready: socketAddressField('Listener for readiness checks.'),
     documents: socketAddressField('Listener from which other hosts fetch configuration and endpoints.'),
     beacon: socketAddressField('UDP socket for heartbeats between hosts.'),
-    metrics: socketAddressField('Listener for metrics.')
+    metrics: socketAddressField('Listener for metrics.'),
+    peers: socketAddressField('Listener for requests that other hosts forward; the port is the same on all hosts. Without it, this host forwards and accepts none.').optional()
   }).meta({ description: 'Listeners.' }),
   readyPath: textField('Path of the readiness check.').default('/ready'),
   metricsPath: textField('Path of the metrics.').default('/metrics'),
