--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -157,10 +157,11 @@
     if (!fromPeer) budget.countRequest(service.name, clock.nowMs())
   }
 
-  protected _spendRetry (request: GatewayRequest): boolean {
-    const { budget, hostCount, clock, log } = this._context
+  protected _spendRetry (request: GatewayRequest, call: string): boolean {
+    const { budget, hostCount, clock, log, metrics } = this._context
     const spent = budget.trySpend(request.service.name, hostCount(), clock.nowMs())
-    if (!spent) log.request(request.id, 'retry budget spent', { service: request.service.name, hosts: hostCount() })
+    metrics.recordRetry(call, spent)
+    log.request(request.id, spent ? 'retry charged' : 'retry budget spent', { service: request.service.name, call, hosts: hostCount() })
     return spent
   }
 
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -63,7 +63,7 @@
     const runs = tried.filter(({ verdict }) => verdict !== ResponseVerdict.NotRun).length
     if (runs > 0 && !isIdempotent(request.route)) return false
     if (runs >= request.route.maxAttempts || tried.length >= MAX_TRIED_ENDPOINTS) return false
-    return tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request))
+    return tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, 'request'))
   }
 
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { tried }: Progress): Promise<Attempt> {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -101,7 +101,7 @@
   private _mayRetry (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): boolean {
     if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || !relay.acceptsRun) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._spendRetry(request)
+    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._spendRetry(request, 'decode')
   }
 
   /** Returns `undefined` when this host has lost its paths to the engines and another host has to serve the request. */
@@ -229,7 +229,7 @@
   private async _prefill (request: GatewayRequest, progress: PromptProgress, tried: ReadonlySet<string>): Promise<PrefilledPrompt | undefined> {
     const endpoint = this._rankedEngines(request, EngineRole.Prefill, progress).find(record => !tried.has(record.id) && this._context.admission.allows(record))
     if (endpoint === undefined || request.signal.aborted) return undefined
-    if (progress.prefills > 0 && !this._spendRetry(request)) return undefined
+    if (progress.prefills > 0 && !this._spendRetry(request, 'prefill')) return undefined
     progress.prefills += 1
     this._context.admission.sent(endpoint)
     return await this._prefillAt(request, endpoint) ?? await this._prefill(request, progress, new Set([...tried, endpoint.id]))
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -86,7 +86,7 @@
     if (!relay.acceptsRun || request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
     if (tried.length > 0 && this._context.reachability.isOutOfReach(request.service.name)) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request)))
+    return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, 'stream')))
   }
 
   private async _finish (request: GatewayRequest, progress: StreamProgress): Promise<void> {
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -24,6 +24,7 @@
   private readonly _refusals: Counter
   private readonly _calls: Counter
   private readonly _forwarded: Counter
+  private readonly _retries: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
 
@@ -33,6 +34,7 @@
     this._refusals = new Counter({ name: 'jaymill_refusals_total', help: 'Requests answered by the host itself.', labelNames: ['kind'], registers })
     this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
     this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
+    this._retries = new Counter({ name: 'jaymill_retries_total', help: 'Retries charged to the budget, or refused by it.', labelNames: ['call', 'outcome'], registers })
     this._latency = new Histogram({
       name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
     })
@@ -104,6 +106,16 @@
     this._forwarded.inc({ outcome })
   }
 
+  /**
+   * Records a retry.
+   *
+   * @param call - Type of the call.
+   * @param charged - Whether the budget allowed it.
+   */
+  recordRetry (call: string, charged: boolean): void {
+    this._retries.inc({ call, outcome: charged ? 'charged' : 'refused' })
+  }
+
   /**
    * Serves the metrics in the text format of Prometheus.
    *
