Charge prefills that are turned away to the retry budget

Callers saw engines busy with refusals.

Cause: the first prefill call of a prompt was never charged, since an accepted one does not count. Class: an arrival that is counted by its expected outcome instead of its real one.

Change: PrefillRetries settles each call by its outcome. A failed one is charged in any case; while prefills of the service fail, a retry is held back before the call and returned when it is accepted, so that the budget is not overdrawn. Without one the decode engine prefills the prompt.

--- a/packages/core/src/__tests__/unit/gateway/JaymillRetryBudget.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillRetryBudget.test.ts
@@ -72,3 +72,16 @@
   budget.countRequest('s', 0)
   expect(budget.trySpend('s', 1, 0)).toBe(false)
 })
+
+test('a refunded charge is left for another retry, and one that was not asked for is missing', () => {
+  const budget = new FleetRetryBudget({ ratio: 0.2, minRetries: 0, windowMs: 10_000 }, 0)
+  Array.from({ length: 10 }).forEach(() => budget.countRequest('s', 20_000))
+  const charge = budget.tryCharge('s', 1, 20_000)
+  expect(budget.tryCharge('s', 1, 20_000)).toBeDefined()
+  expect(budget.tryCharge('s', 1, 20_000)).toBeUndefined()
+  charge?.refund()
+  expect(budget.trySpend('s', 1, 20_100)).toBe(true)
+  budget.charge('s', 20_200)
+  Array.from({ length: 5 }).forEach(() => budget.countRequest('s', 20_300))
+  expect(budget.trySpend('s', 1, 20_300)).toBe(false)
+})
--- a/packages/core/src/__tests__/unit/JaymillServiceReachability.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillServiceReachability.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { ServiceReachability } from '../../gateway/JaymillServiceReachability.js'
+import { ServiceReachability } from '../../../gateway/JaymillServiceReachability.js'
 
 test('a service is out of reach after three of its endpoints failed in a row, and in reach with the next response', () => {
   const reachability = new ServiceReachability()
--- a/packages/core/src/gateway/JaymillFleetRetryBudget.ts
+++ b/packages/core/src/gateway/JaymillFleetRetryBudget.ts
@@ -12,6 +12,12 @@
   readonly windowMs: number
 }
 
+/** A retry that has been taken from the budget. */
+export interface RetryCharge {
+  /** Returns it, because the call did not count. */
+  readonly refund: () => void
+}
+
 interface Bucket {
   epoch: number
   requests: number
@@ -61,11 +67,34 @@
    * @returns Whether the retry is allowed.
    */
   trySpend (service: string, hosts: number, nowMs: number): boolean {
-    if (this._bucketMs === 0) return false
+    return this.tryCharge(service, hosts, nowMs) !== undefined
+  }
+
+  /**
+   * Takes one retry from the budget if one is left, for a call that only counts if it fails.
+   *
+   * @param service - Service to call.
+   * @param hosts - Hosts that share the budget, including this one.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns The charge; `undefined` when no retry is left.
+   */
+  tryCharge (service: string, hosts: number, nowMs: number): RetryCharge | undefined {
+    if (this._bucketMs === 0) return undefined
     const allowed = this._bounds.ratio * this._requests(service, nowMs) + this._shareOfMinimum(hosts, nowMs)
-    if (this._retries(service, nowMs) + 1 > allowed) return false
-    this._bucket(service, nowMs).retries += 1
-    return true
+    if (this._retries(service, nowMs) + 1 > allowed) return undefined
+    const bucket = this._bucket(service, nowMs)
+    bucket.retries += 1
+    return { refund: () => { bucket.retries -= 1 } }
+  }
+
+  /**
+   * Counts a retry that has happened, whether or not one was left.
+   *
+   * @param service - Service that was called.
+   * @param nowMs - Monotonic time in milliseconds.
+   */
+  charge (service: string, nowMs: number): void {
+    if (this._bucketMs > 0) this._bucket(service, nowMs).retries += 1
   }
 
   /**
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -21,6 +21,7 @@
 import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
 import { prefillGroup } from './JaymillLatencyGroups.js'
+import { PrefillOutcome, PrefillRetries, type PrefillAttempt } from './JaymillPrefillRetries.js'
 import { PromptEstimates } from './JaymillPromptEstimates.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
@@ -40,6 +41,7 @@
   private readonly _estimates: PromptEstimates
   private readonly _probeLimiter = new CapacityProbeLimiter()
   private readonly _reservations: EngineReservations
+  private readonly _prefillRetries: PrefillRetries
   private readonly _prefillPlacement: PrefillPlacement = new LatencyTargetPlacement()
 
   /**
@@ -48,6 +50,7 @@
   constructor (context: ForwardingContext) {
     super(context)
     this._estimates = new PromptEstimates(context)
+    this._prefillRetries = new PrefillRetries(context)
     this._reservations = new EngineReservations(context, this._probeLimiter, endpoint => this._recordOutcome(endpoint, CallOutcome.Unreachable))
     context.load.onFreed(() => this._queues.forEach(queue => queue.capacityFreed()))
   }
@@ -71,7 +74,7 @@
       return
     }
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
-    await this._round(request, { relay, hintTokens, runs: 0, rounds: 0, prefills: 0, avoidedIds: new Set() })
+    await this._round(request, { relay, hintTokens, runs: 0, rounds: 0, prefilled: false, avoidedIds: new Set() })
   }
 
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
@@ -229,13 +232,16 @@
   private async _prefill (request: GatewayRequest, progress: PromptProgress, tried: ReadonlySet<string>): Promise<PrefilledPrompt | undefined> {
     const endpoint = this._rankedEngines(request, EngineRole.Prefill, progress).find(record => !tried.has(record.id) && this._context.admission.allows(record))
     if (endpoint === undefined || request.signal.aborted) return undefined
-    if (progress.prefills > 0 && !this._spendRetry(request, 'prefill')) return undefined
-    progress.prefills += 1
+    const attempt = this._prefillRetries.begin(request, progress.prefilled)
+    if (attempt === undefined) return undefined
     this._context.admission.sent(endpoint)
-    return await this._prefillAt(request, endpoint) ?? await this._prefill(request, progress, new Set([...tried, endpoint.id]))
+    const prompt = await this._prefillAt(request, endpoint, attempt)
+    if (prompt === undefined) return await this._prefill(request, progress, new Set([...tried, endpoint.id]))
+    progress.prefilled = true
+    return prompt
   }
 
-  private async _prefillAt (request: GatewayRequest, endpoint: EndpointRecord): Promise<PrefilledPrompt | undefined> {
+  private async _prefillAt (request: GatewayRequest, endpoint: EndpointRecord, attempt: PrefillAttempt): Promise<PrefilledPrompt | undefined> {
     const { calls, clock, load, latencyModel, log, metrics } = this._context
     const work = load.at(endpoint.id)
     const tokens = promptTokensOf(request)
@@ -256,6 +262,7 @@
     )
     limit.dispose()
     prefillEnded.abort()
+    attempt.settle(prefillOutcome(prompt, failure, request.signal))
     const ms = clock.nowMs() - startMs
     if (prompt !== undefined) latencyModel.addMeasurement({ group: prefillGroup(endpoint.service), endpointId: endpoint.id }, work.tokens + tokens, ms, clock.nowMs())
     const outcome = prompt === undefined ? 'failed' : 'read'
@@ -435,3 +442,8 @@
     return this._estimates.firstEventMs(request) + this._expectedPrefillMs(request)
   }
 }
+
+function prefillOutcome (prompt: PrefilledPrompt | undefined, failure: ExchangeFailure | undefined, signal: AbortSignal): PrefillOutcome {
+  if (failure === ExchangeFailure.Connect) return PrefillOutcome.Unsent
+  return prompt !== undefined || signal.aborted ? PrefillOutcome.Accepted : PrefillOutcome.Failed
+}
--- a/packages/gateway/src/forwarding/JaymillPromptProgress.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptProgress.ts
@@ -16,8 +16,8 @@
   runs: number
   /** Rounds of reservation, prefill and decode. */
   rounds: number
-  /** Calls to prefill engines. */
-  prefills: number
+  /** Whether a prefill engine has prefilled the prompt; the first such call does not count as a retry. */
+  prefilled: boolean
   /** Engines that returned no usable response to this request. */
   readonly avoidedIds: Set<string>
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -120,3 +120,6 @@
 
 /** Idle time after which a stream that another host forwards is broken off, in milliseconds; that host resumes it once before. */
 export const PEER_STREAM_IDLE_TIMEOUT_MS = 3_000
+
+/** Time after a failed prefill for which prefills of the service hold back a retry, in milliseconds; a few latency targets. */
+export const PREFILL_CAUTION_MS = 5_000
