Charge a retry of a prompt when it is sent

Retries charged in one window arrived together with those charged in the next. Class: a rate limit that counts decisions instead of the events it limits.

Change: a further round of a prompt only checks that a retry is left before it waits. It is charged once capacity is reserved, before the prompt is prefilled again, and the charge moves to the moment at which the request is sent; it is returned when the request is not sent after all.

Red before: 20 repeats in two seconds in JaymillRetryBudget where 10 are allowed, now at most 10. Looked at for the same cause: retries of plain requests and other streams are charged up to half a latency target before they are sent, when endpoints have rate limits; left as it is.

--- a/packages/core/src/gateway/JaymillFleetRetryBudget.ts
+++ b/packages/core/src/gateway/JaymillFleetRetryBudget.ts
@@ -16,6 +16,12 @@
 export interface RetryCharge {
   /** Returns it, because the call did not count. */
   readonly refund: () => void
+  /**
+   * Counts it at a later time, at which the call is really made.
+   *
+   * @param nowMs - Monotonic time in milliseconds.
+   */
+  readonly moveTo: (nowMs: number) => void
 }
 
 interface Bucket {
@@ -71,7 +77,21 @@
   }
 
   /**
-   * Takes one retry from the budget if one is left, for a call that only counts if it fails.
+   * Tells whether a retry is left, for one that is made later.
+   *
+   * @param service - Service to retry the request at.
+   * @param hosts - Hosts that share the budget, including this one.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Whether the retry would be allowed now.
+   */
+  hasRetry (service: string, hosts: number, nowMs: number): boolean {
+    if (this._bucketMs === 0) return false
+    const allowed = this._bounds.ratio * this._requests(service, nowMs) + this._shareOfMinimum(hosts, nowMs)
+    return this._retries(service, nowMs) + 1 <= allowed
+  }
+
+  /**
+   * Takes one retry from the budget if one is left, for a call that is made later, or that only counts if it fails.
    *
    * @param service - Service to call.
    * @param hosts - Hosts that share the budget, including this one.
@@ -79,12 +99,17 @@
    * @returns The charge; `undefined` when no retry is left.
    */
   tryCharge (service: string, hosts: number, nowMs: number): RetryCharge | undefined {
-    if (this._bucketMs === 0) return undefined
-    const allowed = this._bounds.ratio * this._requests(service, nowMs) + this._shareOfMinimum(hosts, nowMs)
-    if (this._retries(service, nowMs) + 1 > allowed) return undefined
+    if (!this.hasRetry(service, hosts, nowMs)) return undefined
     const bucket = this._bucket(service, nowMs)
     bucket.retries += 1
-    return { refund: () => { bucket.retries -= 1 } }
+    const refund = (): void => { bucket.retries -= 1 }
+    return {
+      refund,
+      moveTo: laterMs => {
+        refund()
+        this.charge(service, laterMs)
+      }
+    }
   }
 
   /**
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, sampleEndpoints, sampleSize } from '@jaymill/core'
+import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, type RetryCharge, sampleEndpoints, sampleSize } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -157,12 +157,24 @@
     if (!fromPeer) budget.countRequest(service.name, clock.nowMs())
   }
 
+  /** Tells whether a retry is left for a request that is sent later, which then has to be charged. */
+  protected _hasRetry ({ id, service }: GatewayRequest): boolean {
+    const { budget, hostCount, clock, log } = this._context
+    const left = budget.hasRetry(service.name, hostCount(), clock.nowMs())
+    if (!left) log.request(id, 'retry budget spent', { service: service.name, hosts: hostCount() })
+    return left
+  }
+
   protected _spendRetry (request: GatewayRequest, call: string): boolean {
+    return this._chargeRetry(request, call) !== undefined
+  }
+
+  protected _chargeRetry (request: GatewayRequest, call: string): RetryCharge | undefined {
     const { budget, hostCount, clock, log, metrics } = this._context
-    const spent = budget.trySpend(request.service.name, hostCount(), clock.nowMs())
-    metrics.recordRetry(call, spent)
-    log.request(request.id, spent ? 'retry charged' : 'retry budget spent', { service: request.service.name, call, hosts: hostCount() })
-    return spent
+    const charge = budget.tryCharge(request.service.name, hostCount(), clock.nowMs())
+    metrics.recordRetry(call, charge !== undefined)
+    log.request(request.id, charge === undefined ? 'retry budget spent' : 'retry charged', { service: request.service.name, call, hosts: hostCount() })
+    return charge
   }
 
   protected _recordOutcome (endpoint: EndpointRecord, outcome: CallOutcome): void {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,6 +1,7 @@
 import {
   callerTimeoutMs, CallOutcome, CapacityProbeLimiter, drainMs, EngineRole, ErrorKind, isIdempotent, LatencyTargetPlacement,
-  PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions
+  PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions,
+  type RetryCharge
 } from '@jaymill/core'
 import { abortError } from '../callers/JaymillAbortError.js'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -31,6 +32,9 @@
 
 const STATUS_OK = 200
 
+/** Charge of the first round, which is no retry. */
+const NO_CHARGE: RetryCharge = { refund: () => {}, moveTo: () => {} }
+
 /**
  * Forwards generation requests to separate prefill and decode pools: reserves capacity at a decode engine, prefills the prompt
  * at a prefill engine, then runs the request at the reserved engine. Unused reservations and KV caches are released however
@@ -84,6 +88,7 @@
     try {
       const reservation = await this._reserve(request, progress)
       if (reservation === undefined) {
+        if (this._chargeRound(request, progress) === undefined) throw this._finalError(request, progress)
         await this._context.peers.forwardStream(request, progress.relay, progress.runs)
         return
       }
@@ -104,7 +109,12 @@
   private _mayRetry (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): boolean {
     if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || !relay.acceptsRun) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._spendRetry(request, 'decode')
+    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._hasRetry(request)
+  }
+
+  /** Charges a round that repeats the request only now: it may have waited for capacity since the last one failed. */
+  private _chargeRound (request: GatewayRequest, { rounds }: PromptProgress): RetryCharge | undefined {
+    return rounds === 1 ? NO_CHARGE : this._chargeRetry(request, 'decode')
   }
 
   /** Returns `undefined` when this host has lost its paths to the engines and another host has to serve the request. */
@@ -191,19 +201,29 @@
 
   /** Prefills and decodes a request. Returns whether another round is needed. */
   private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
-    this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._estimates.decodeMs(request), () => this._reservations.release(request, reservation, undefined))
+    const charge = this._chargeRound(request, progress)
+    const release = (prompt?: PrefilledPrompt): void => {
+      this._reservations.release(request, reservation, prompt)
+      charge?.refund()
+    }
+    if (charge === undefined) {
+      release()
+      throw this._finalError(request, progress)
+    }
+    this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._estimates.decodeMs(request), release)
     const location = this._prefillPlacement.choose(this._placementOptions(request, reservation.endpoint))
     const prompt = location === PrefillLocation.Prefill ? await this._prefill(request, progress, new Set()) : undefined
     if (request.signal.aborted) {
-      this._reservations.release(request, reservation, prompt)
+      release(prompt)
       throw this._finalError(request, progress)
     }
     if (!this._isUsable(reservation.endpoint)) {
       this._context.log.request(request.id, 'reserved engine left', { endpoint: reservation.endpoint.id, directory: this._context.state.directory.revision })
-      this._reservations.release(request, reservation, prompt)
+      release(prompt)
       return true
     }
-    this._checkStage(request, progress, () => this._estimates.decodeMs(request), () => this._reservations.release(request, reservation, prompt))
+    this._checkStage(request, progress, () => this._estimates.decodeMs(request), () => release(prompt))
+    charge.moveTo(this._context.clock.nowMs())
     const run = this._context.crashes.track(request, reservation.endpoint)
     const response = await this._openDecode(request, progress, reservation, prompt, run)
     if (response === undefined) return true
