Follow a configuration source that was restored from a copy

Class: an order of events that is taken from a counter which can go back.

Applying the copy must bring nothing back, so the directory keeps what it knows to be newer: an endpoint that leaves or is gone stays so until it is published anew, and one that the copy lacks counts for the grace period. Configurations only go up by their own version, as before.

--- a/packages/core/src/gateway/JaymillEndpointDirectory.ts
+++ b/packages/core/src/gateway/JaymillEndpointDirectory.ts
@@ -1,5 +1,6 @@
-import { ENDPOINT_GRACE_MS } from './constants.js'
+import { ENDPOINT_GRACE_MS, REMOVED_ENDPOINT_MEMORY_MS } from './constants.js'
 import type { EndpointChange, EndpointRecord } from './JaymillEndpointRecord.js'
+import { epochOf } from './JaymillSourceRevision.js'
 
 interface DirectoryEntry {
   readonly record: EndpointRecord
@@ -7,6 +8,13 @@
   readonly missingUntilMs?: number
 }
 
+/** Endpoint that was removed. */
+interface RemovedEndpoint {
+  readonly record: EndpointRecord
+  /** Monotonic time, in milliseconds. */
+  readonly removedMs: number
+}
+
 /** Kind of a directory change. */
 export enum DirectoryEvent {
   Added = 'added',
@@ -23,11 +31,17 @@
   readonly record: EndpointRecord
 }
 
-/** Holds the published endpoints. Records that expire during an outage of the publisher are retained for a grace period. */
+/**
+ * Holds the published endpoints. Records that expire during an outage of the publisher are retained for a grace period. After the
+ * publisher was restored from a copy, so are records that the copy lacks, and records of the copy replace no newer ones.
+ */
 export class EndpointDirectory {
   private readonly _entries = new Map<string, DirectoryEntry>()
   private _revision = 0
   private _graceUntilMs = Number.NEGATIVE_INFINITY
+  /** Whether the publisher was restored while this directory was in use. */
+  private _restored = false
+  private readonly _removed = new Map<string, RemovedEndpoint>()
 
   /** Revision of the newest update; 0 before the first. */
   get revision (): number {
@@ -78,6 +92,15 @@
    * @returns Resulting changes to the directory.
    */
   applySnapshot (records: readonly EndpointRecord[], revision: number, nowMs: number): readonly DirectoryChange[] {
+    if (this._revision > 0 && epochOf(revision) > epochOf(this._revision)) {
+      this._restored = true
+      this.extendGrace(ENDPOINT_GRACE_MS, nowMs)
+    }
+    const current = this._restored ? records.filter(record => !this._isRemoved(record)).map(record => this._newest(record)) : records
+    return this._applyList(current, revision, nowMs)
+  }
+
+  private _applyList (records: readonly EndpointRecord[], revision: number, nowMs: number): readonly DirectoryChange[] {
     const listed = new Set(records.map(({ id }) => id))
     const removals = [...this._entries.keys()].filter(id => !listed.has(id)).map(id => ({ id }))
     return this.apply([...records.map(record => ({ id: record.id, record })), ...removals], revision, nowMs)
@@ -104,8 +127,9 @@
    * @returns Removed records.
    */
   expire (nowMs: number): readonly DirectoryChange[] {
+    ;[...this._removed].filter(([, { removedMs }]) => nowMs - removedMs > REMOVED_ENDPOINT_MEMORY_MS).forEach(([id]) => this._removed.delete(id))
     const expired = [...this._entries.values()].filter(({ missingUntilMs }) => missingUntilMs !== undefined && missingUntilMs <= nowMs)
-    return expired.map(({ record }) => this._drop(record))
+    return expired.map(({ record }) => this._drop(record, nowMs))
   }
 
   /**
@@ -131,6 +155,16 @@
     return [...this._entries.values()].map(({ record }) => record)
   }
 
+  private _isRemoved (record: EndpointRecord): boolean {
+    const removed = this._removed.get(record.id)?.record
+    return !this._entries.has(record.id) && removed !== undefined && !isNewer(record, removed)
+  }
+
+  private _newest (record: EndpointRecord): EndpointRecord {
+    const known = this._entries.get(record.id)?.record
+    return known === undefined || isNewer(record, known) ? record : known
+  }
+
   private _put (record: EndpointRecord): readonly DirectoryChange[] {
     const before = this._entries.get(record.id)?.record
     this._entries.set(record.id, { record })
@@ -143,13 +177,20 @@
   private _remove (id: string, nowMs: number): readonly DirectoryChange[] {
     const entry = this._entries.get(id)
     if (entry === undefined || entry.missingUntilMs !== undefined) return []
-    if (entry.record.leaving || nowMs >= this._graceUntilMs) return [this._drop(entry.record)]
+    if (entry.record.leaving || nowMs >= this._graceUntilMs) return [this._drop(entry.record, nowMs)]
     this._entries.set(id, { record: entry.record, missingUntilMs: this._graceUntilMs })
     return [{ event: DirectoryEvent.Missing, record: entry.record }]
   }
 
-  private _drop (record: EndpointRecord): DirectoryChange {
+  private _drop (record: EndpointRecord, nowMs: number): DirectoryChange {
     this._entries.delete(record.id)
+    this._removed.set(record.id, { record, removedMs: nowMs })
     return { event: DirectoryEvent.Removed, record }
   }
 }
+
+/** Records that don't tell count as newer. */
+function isNewer (record: EndpointRecord, known: EndpointRecord): boolean {
+  if (record.bornMs !== known.bornMs) return record.bornMs === undefined || known.bornMs === undefined || record.bornMs > known.bornMs
+  return record.sequence === undefined || known.sequence === undefined || record.sequence > known.sequence
+}
--- a/packages/core/src/gateway/JaymillEndpointRecord.ts
+++ b/packages/core/src/gateway/JaymillEndpointRecord.ts
@@ -20,6 +20,8 @@
   readonly stage?: EngineRole
   /** Start time of its process, in milliseconds since the Unix epoch; distinguishes restarts under the same id. */
   readonly bornMs?: number
+  /** Increases with each report of the process; tells which of two records of it is newer. */
+  readonly sequence?: number
   /** Remaining warm-up time after its start, during which it is slow, in milliseconds. */
   readonly warmupMs: number
 }
--- a/packages/gateway/src/ports/JaymillFleetSource.ts
+++ b/packages/gateway/src/ports/JaymillFleetSource.ts
@@ -5,7 +5,7 @@
   /** Absent when no configuration has been published. */
   readonly config?: GatewayConfig
   readonly endpoints: readonly EndpointRecord[]
-  /** Revision of the state; single entries may be newer. */
+  /** Revision of the state (`sourceRevision`); single entries may be newer. */
   readonly revision: number
 }
 
@@ -34,7 +34,8 @@
    * @param revision - Revision after which changes are returned.
    * @param waitMs - Maximum time to wait, in milliseconds.
    * @param signal - Cancels the wait.
-   * @returns The changes; empty after the maximum time; `undefined` when the source no longer has the history after the revision.
+   * @returns The changes; empty after the maximum time; `undefined` when the source no longer has the history after the revision,
+   * or was restored since.
    * @throws SourceError when the changes cannot be read.
    */
   abstract changes (revision: number, waitMs: number, signal: AbortSignal): Promise<FleetChanges | undefined>
