Do not report a forwarded stream as not run after an endpoint has begun it

A host that takes a stream from another one, and loses its paths after an endpoint has begun to run it, answered that no endpoint is in reach and that the request has not run. The other host believed it and tried the next one, with all of its runs again. Cause: the check of the paths before a further round did not know of the runs before. Only resumable streams get to a further round, so no request ran that must run at most once.

--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -37,13 +37,15 @@
    * Tells whether a request has to be forwarded. One that comes from another host is refused instead, so that it can't go in circles.
    *
    * @param request - The request.
+   * @param mayHaveRun - Whether an endpoint may have run it; a request of another host then ends here, as not all of its runs are
+   * known there.
    * @returns Whether this host reaches no endpoint of its service, while others may.
-   * @throws RequestError of kind `OutOfReach` for a request of another host.
+   * @throws RequestError for a request of another host: of kind `OutOfReach` if it has not run, else `EndpointFailed`.
    */
-  shouldForward (request: GatewayRequest): boolean {
+  shouldForward (request: GatewayRequest, mayHaveRun = false): boolean {
     const { reachability, calls } = this._context
     if (!reachability.isOutOfReach(request.service.name)) return false
-    if (request.fromPeer) throw outOfReachError()
+    if (request.fromPeer) throw mayHaveRun ? this._failed(request) : outOfReachError()
     return calls.enabled
   }
 
@@ -99,7 +101,7 @@
 
   /** A request of another host is not forwarded again. */
   private async _open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse> {
-    if (request.fromPeer) throw outOfReachError()
+    if (request.fromPeer) throw mayHaveRun ? this._failed(request) : outOfReachError()
     const opened = await this._context.calls.open(request, options).catch(err => { throw this._failed(request, err) })
     if (opened !== undefined) return opened
     if (request.signal.aborted) throw abortError(request, mayHaveRun)
@@ -109,7 +111,7 @@
   private _failed (request: GatewayRequest, cause?: unknown): Error {
     if (cause !== undefined && !(cause instanceof ExchangeError)) return cause as Error
     if (request.signal.aborted) return abortError(request, true)
-    return new RequestError(ErrorKind.EndpointFailed, 'no complete response arrived through another host', { ran: RanState.Unknown, cause })
+    return new RequestError(ErrorKind.EndpointFailed, 'no complete response arrived and no endpoint is in reach', { ran: RanState.Unknown, cause })
   }
 
   private _elapsedMs ({ arrivedMs }: GatewayRequest): number {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -121,7 +121,8 @@
   private async _reserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation | undefined> {
     const { arrivedMs, route, signal, metadata, service } = request
     const { peers, reachability } = this._context
-    if (peers.shouldForward(request)) return undefined
+    const mayHaveRun = progress.runs > 0 || progress.relay.started
+    if (peers.shouldForward(request, mayHaveRun)) return undefined
     const nowMs = this._context.clock.nowMs()
     const isRetry = (metadata.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETRY_DEADLINE_SHARE
     const firstEventMs = this._expectedFirstEventMs(request)
@@ -142,7 +143,7 @@
     if (reservation !== undefined && !signal.aborted) return reservation
     if (reservation !== undefined) this._reservations.release(request, reservation, undefined)
     if (signal.aborted) throw this._finalError(request, progress)
-    if (peers.shouldForward(request)) return undefined
+    if (peers.shouldForward(request, mayHaveRun)) return undefined
     if (progress.relay.started) throw this._finalError(request, progress)
     throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
