Do not report a stream as not run when it waits for capacity after a failed run

A resumable stream whose engine failed before its first event, and for which no engine had capacity afterwards, was refused with 503, which says that it has not run. An engine had begun to run it. Cause: only a response that had been started was taken as a sign of a run, not the runs counted.

Red before: 503 in the test of JaymillStreams, now 502 with ran unknown."

--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -144,7 +144,7 @@
     if (reservation !== undefined) this._reservations.release(request, reservation, undefined)
     if (signal.aborted) throw this._finalError(request, progress)
     if (peers.shouldForward(request, mayHaveRun)) return undefined
-    if (progress.relay.started) throw this._finalError(request, progress)
+    if (mayHaveRun) throw this._finalError(request, progress)
     throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
 
