Do not pass on another host's "not run" for a stream that was begun here

A resumable stream that an engine had begun, and that the host forwarded after it had lost its paths, was refused with 503, not run, when the other host had no capacity for it. That host only knows that it has not run there. The host that forwards it now answers 502, ran unknown.

Red before: 503 in the test, now 502.

--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -102,7 +102,10 @@
   /** A request of another host is not forwarded again. */
   private async _open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse> {
     if (request.fromPeer) throw mayHaveRun ? this._failed(request) : outOfReachError()
-    const opened = await this._context.calls.open(request, options).catch(err => { throw this._failed(request, err) })
+    const opened = await this._context.calls.open(request, options).catch(err => {
+      // The other host only knows whether the request has run there.
+      throw this._failed(request, mayHaveRun ? undefined : err)
+    })
     if (opened !== undefined) return opened
     if (request.signal.aborted) throw abortError(request, mayHaveRun)
     throw mayHaveRun ? this._failed(request) : outOfReachError()
