--- a/packages/core/src/gateway/JaymillEndpointDirectory.ts
+++ b/packages/core/src/gateway/JaymillEndpointDirectory.ts
@@ -1,6 +1,6 @@
 import { ENDPOINT_GRACE_MS, REMOVED_ENDPOINT_MEMORY_MS } from './constants.js'
 import type { EndpointChange, EndpointRecord } from './JaymillEndpointRecord.js'
-import { epochOf } from './JaymillSourceRevision.js'
+import { wasRestored } from './JaymillSourceRevision.js'
 
 interface DirectoryEntry {
   readonly record: EndpointRecord
@@ -92,7 +92,7 @@
    * @returns Resulting changes to the directory.
    */
   applySnapshot (records: readonly EndpointRecord[], revision: number, nowMs: number): readonly DirectoryChange[] {
-    if (this._revision > 0 && epochOf(revision) > epochOf(this._revision)) {
+    if (wasRestored(revision, this._revision)) {
       this._restored = true
       this.extendGrace(ENDPOINT_GRACE_MS, nowMs)
     }
--- a/packages/core/src/gateway/JaymillSourceRevision.ts
+++ b/packages/core/src/gateway/JaymillSourceRevision.ts
@@ -27,6 +27,15 @@
   return Math.floor(combined / REVISIONS_PER_EPOCH)
 }
 
+/**
+ * @param combined - Combined revision of what was read.
+ * @param before - Combined revision of what was read before; 0 if nothing was.
+ * @returns Whether the source was restored in between.
+ */
+export function wasRestored (combined: number, before: number): boolean {
+  return before > 0 && epochOf(combined) > epochOf(before)
+}
+
 /**
  * @param combined - A combined revision.
  * @returns The revision within its epoch.
--- a/packages/gateway/src/fleet/JaymillFleetState.ts
+++ b/packages/gateway/src/fleet/JaymillFleetState.ts
@@ -1,4 +1,4 @@
-import { Clock, EndpointDirectory, epochOf, revisionInEpoch, RouteTable, type DirectoryChange, type EndpointChange, type GatewayConfig } from '@jaymill/core'
+import { Clock, EndpointDirectory, epochOf, revisionInEpoch, RouteTable, wasRestored, type DirectoryChange, type EndpointChange, type GatewayConfig } from '@jaymill/core'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetChanges, FleetSnapshot } from '../ports/JaymillFleetSource.js'
 import type { ChangeBatch } from '../peers/JaymillHostMessage.js'
@@ -130,7 +130,7 @@
     if (config !== undefined) this._applyConfig(config, origin)
     const isNewer = revision > this._directory.revision
     if (isNewer) this._recentChanges = []
-    if (this._directory.revision > 0 && epochOf(revision) > epochOf(this._directory.revision)) {
+    if (wasRestored(revision, this._directory.revision)) {
       this._log.stateChange('source was restored', { epoch: epochOf(revision), revision: revisionInEpoch(revision), before: revisionInEpoch(this._directory.revision), origin })
     }
     this._notify(this._directory.applySnapshot(endpoints, revision, this._clock.nowMs()), origin)
