Record retries in one place

The log lines and the metric of a retry were written in three places that had drifted apart: a decode retry that the budget refuses before its wait was missing from jaymill_retries_total, and its log line did not name the call. recordRetry now writes both, with the calls as an enum.

--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -7,6 +7,7 @@
 import type { CallMetadata } from '../ports/JaymillWireDialect.js'
 import { PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
+import { recordRetry, type RetriedCall } from './JaymillRetryRecord.js'
 
 const MS_PER_SECOND = 1_000
 
@@ -157,23 +158,22 @@
     if (!fromPeer) budget.countRequest(service.name, clock.nowMs())
   }
 
-  /** Tells whether a retry is left for a request that is sent later, which then has to be charged. */
-  protected _hasRetry ({ id, service }: GatewayRequest): boolean {
-    const { budget, hostCount, clock, log } = this._context
-    const left = budget.hasRetry(service.name, hostCount(), clock.nowMs())
-    if (!left) log.request(id, 'retry budget spent', { service: service.name, hosts: hostCount() })
+  /** Tells whether a retry is left for a call that is made later, which then has to be charged. */
+  protected _hasRetry (request: GatewayRequest, call: RetriedCall): boolean {
+    const { budget, hostCount, clock } = this._context
+    const left = budget.hasRetry(request.service.name, hostCount(), clock.nowMs())
+    if (!left) recordRetry(this._context, request, call, false)
     return left
   }
 
-  protected _spendRetry (request: GatewayRequest, call: string): boolean {
+  protected _spendRetry (request: GatewayRequest, call: RetriedCall): boolean {
     return this._chargeRetry(request, call) !== undefined
   }
 
-  protected _chargeRetry (request: GatewayRequest, call: string): RetryCharge | undefined {
-    const { budget, hostCount, clock, log, metrics } = this._context
+  protected _chargeRetry (request: GatewayRequest, call: RetriedCall): RetryCharge | undefined {
+    const { budget, hostCount, clock } = this._context
     const charge = budget.tryCharge(request.service.name, hostCount(), clock.nowMs())
-    metrics.recordRetry(call, charge !== undefined)
-    log.request(request.id, charge === undefined ? 'retry budget spent' : 'retry charged', { service: request.service.name, call, hosts: hostCount() })
+    recordRetry(this._context, request, call, charge !== undefined)
     return charge
   }
 
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -9,6 +9,7 @@
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_DURATION_TARGETS } from './constants.js'
 import { Forwarder } from './JaymillForwarder.js'
+import { RetriedCall } from './JaymillRetryRecord.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 
 /** Result of one call to an endpoint. */
@@ -63,7 +64,7 @@
     const runs = tried.filter(({ verdict }) => verdict !== ResponseVerdict.NotRun).length
     if (runs > 0 && !isIdempotent(request.route)) return false
     if (runs >= request.route.maxAttempts || tried.length >= MAX_TRIED_ENDPOINTS) return false
-    return tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, 'request'))
+    return tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, RetriedCall.Request))
   }
 
   private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { tried }: Progress): Promise<Attempt> {
--- a/packages/gateway/src/forwarding/JaymillPrefillRetries.ts
+++ b/packages/gateway/src/forwarding/JaymillPrefillRetries.ts
@@ -2,6 +2,7 @@
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { PREFILL_CAUTION_MS } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
+import { recordRetry, RetriedCall } from './JaymillRetryRecord.js'
 
 /** What became of a prefill call, as it affects the retry budget. */
 export enum PrefillOutcome {
@@ -53,7 +54,7 @@
     if (!counts && !isRisky) return { settle: outcome => this._settle(request, outcome, undefined, false) }
     const charge = budget.tryCharge(service, hostCount(), nowMs)
     if (charge === undefined) {
-      this._record(request, 'retry budget spent', false)
+      recordRetry(this._context, request, RetriedCall.Prefill, false)
       return undefined
     }
     return { settle: outcome => this._settle(request, outcome, charge, counts) }
@@ -68,12 +69,6 @@
       return
     }
     if (charge === undefined) budget.charge(service, clock.nowMs())
-    this._record(request, 'retry charged', true)
-  }
-
-  private _record (request: GatewayRequest, message: string, charged: boolean): void {
-    const { log, metrics, hostCount } = this._context
-    metrics.recordRetry('prefill', charged)
-    log.request(request.id, message, { service: request.service.name, call: 'prefill', hosts: hostCount() })
+    recordRetry(this._context, request, RetriedCall.Prefill, true)
   }
 }
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -27,6 +27,7 @@
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
+import { RetriedCall } from './JaymillRetryRecord.js'
 import { classifyResponse, isOfOtherRequest, ResponseVerdict } from './JaymillResponseVerdict.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
@@ -110,12 +111,12 @@
   private _mayRetry (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): boolean {
     if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || !relay.acceptsRun) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._hasRetry(request)
+    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._hasRetry(request, RetriedCall.Decode)
   }
 
   /** Charges a round that repeats the request only now: it may have waited for capacity since the last one failed. */
   private _chargeRound (request: GatewayRequest, { rounds }: PromptProgress): RetryCharge | undefined {
-    return rounds === 1 ? NO_CHARGE : this._chargeRetry(request, 'decode')
+    return rounds === 1 ? NO_CHARGE : this._chargeRetry(request, RetriedCall.Decode)
   }
 
   /** Returns `undefined` when this host has lost its paths to the engines and another host has to serve the request. */
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -7,6 +7,7 @@
 import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_IDLE_TIMEOUT_MS } from './constants.js'
 import { Forwarder } from './JaymillForwarder.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
+import { RetriedCall } from './JaymillRetryRecord.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
@@ -86,7 +87,7 @@
     if (!relay.acceptsRun || request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
     if (tried.length > 0 && this._context.reachability.isOutOfReach(request.service.name)) return false
     if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, 'stream')))
+    return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, RetriedCall.Stream)))
   }
 
   private async _finish (request: GatewayRequest, progress: StreamProgress): Promise<void> {
