Forward requests to stopping hosts when no other host is left

Callers of hosts that reach no endpoint were refused while the only hosts that do reach them were in a planned stop, although those served their own callers.

Cause: only hosts that are not shutting down were asked. Ruled out: pauses of the fourth host after a refusal (the log holds none), its capacity.

Change: hosts that shut down are asked last. They take what ends before they do and refuse the rest as not run, like requests of their own callers.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -184,7 +184,15 @@
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, log, signal: this._abort.signal })
     const peerCalls = new PeerCalls({
-      port: this._settings.listen.peers?.port, peers: () => this._heartbeats.workingPeers, state: this._state, dialect, clock, random, log, metrics: this._metrics
+      port: this._settings.listen.peers?.port,
+      peers: () => this._heartbeats.workingPeers,
+      stoppingPeers: () => this._heartbeats.stoppingPeers,
+      state: this._state,
+      dialect,
+      clock,
+      random,
+      log,
+      metrics: this._metrics
     })
     return {
       zone: this._settings.host.zone,
--- a/packages/gateway/src/peers/JaymillHostHeartbeats.ts
+++ b/packages/gateway/src/peers/JaymillHostHeartbeats.ts
@@ -96,6 +96,11 @@
     return this._table.live.filter(({ leaving }) => !leaving).map(({ address }) => address)
   }
 
+  /** IP addresses of the live peers that are shutting down. */
+  get stoppingPeers (): readonly string[] {
+    return this._table.live.filter(({ leaving }) => leaving).map(({ address }) => address)
+  }
+
   /** Zone and source connection of each live peer. */
   get readers (): readonly SourceReader[] {
     return this._table.readers
--- a/packages/gateway/src/peers/JaymillPeerCalls.ts
+++ b/packages/gateway/src/peers/JaymillPeerCalls.ts
@@ -19,6 +19,8 @@
   readonly port: number | undefined
   /** Returns the IP addresses of the hosts that take new work. */
   readonly peers: () => readonly string[]
+  /** Returns the IP addresses of the hosts that shut down. They take work that ends before they do. */
+  readonly stoppingPeers: () => readonly string[]
   readonly state: FleetState
   readonly dialect: WireDialect
   readonly clock: Clock
@@ -123,15 +125,20 @@
     }
   }
 
-  /** Orders the hosts at random, so that the requests of many hosts that are cut off spread over the others. */
+  /** Hosts that shut down come last: they may be the only ones that reach the service. */
   private _candidates (service: string): readonly string[] {
-    const { peers, clock, random } = this._context
+    const { peers, stoppingPeers, clock } = this._context
     const nowMs = clock.nowMs()
-    return peers()
+    return [...this._shuffled(peers()), ...this._shuffled(stoppingPeers())]
       .filter(peer => (this._pausedUntilMs.get(pauseKey(service, peer)) ?? nowMs) <= nowMs)
-      .map(peer => ({ peer, order: random.next() }))
-      .sort((a, b) => a.order - b.order)
       .slice(0, MAX_TRIED_PEERS)
+  }
+
+  /** Orders hosts at random, so that the requests of many hosts that are cut off spread over the others. */
+  private _shuffled (peers: readonly string[]): readonly string[] {
+    return peers
+      .map(peer => ({ peer, order: this._context.random.next() }))
+      .sort((a, b) => a.order - b.order)
       .map(({ peer }) => peer)
   }
 
