Forward a request once more when the other host fails

A stream or a safe request that a host without paths to the endpoints had forwarded ended with the other host, or with its paths to the endpoints: callers got a broken stream or 502, though further hosts could serve it.

Cause: a host that fails does not tell how many endpoints have run the request, so nothing was left that could safely be used. Ruled out: counting the runs in the stream (an event for it would reach callers that resume elsewhere), and a second run beyond the route's limit.

Change: of the runs that an idempotent route allows, the forwarding host keeps one. It uses it, charged to its retry budget, when the response of the first host breaks off, is missing, or says that an endpoint failed. Routes that are not idempotent are unchanged.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -194,6 +194,8 @@
       log,
       metrics: this._metrics
     })
+    const budget = new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs())
+    const hostCount = (): number => this._heartbeats.hostCount
     return {
       zone: this._settings.host.zone,
       clock,
@@ -208,14 +210,14 @@
       directPrefills,
       demand,
       roleChanges,
-      crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, hostCount: () => this._heartbeats.hostCount, share: () => this._heartbeats.evidenceAdded() }),
+      crashes: new CrashGuard({ clock, log, metrics: this._metrics, quarantine, hostCount, share: () => this._heartbeats.evidenceAdded() }),
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
-      peers: new PeerForwarder({ calls: peerCalls, reachability, clock, log, metrics: this._metrics }),
+      peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
-      budget: new FleetRetryBudget({ ratio: retryRatio, minRetries: retryMinimum, windowMs: retryWindowSeconds * MS_PER_SECOND }, clock.nowMs()),
-      hostCount: () => this._heartbeats.hostCount,
+      budget,
+      hostCount,
       plannedStop: () => this._plannedStop,
       loadAgeMs: () => this._heartbeats.usesRelays ? RELAYED_LOAD_AGE_MS : 0,
       scheduleHeartbeat: () => this._heartbeats.scheduleSend(),
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -7,7 +7,7 @@
 import type { CallMetadata } from '../ports/JaymillWireDialect.js'
 import { PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
-import { recordRetry, type RetriedCall } from './JaymillRetryRecord.js'
+import { chargeRetry, recordRetry, type RetriedCall } from './JaymillRetryRecord.js'
 
 const MS_PER_SECOND = 1_000
 
@@ -171,10 +171,7 @@
   }
 
   protected _chargeRetry (request: GatewayRequest, call: RetriedCall): RetryCharge | undefined {
-    const { budget, hostCount, clock } = this._context
-    const charge = budget.tryCharge(request.service.name, hostCount(), clock.nowMs())
-    recordRetry(this._context, request, call, charge !== undefined)
-    return charge
+    return chargeRetry(this._context, request, call)
   }
 
   protected _recordOutcome (endpoint: EndpointRecord, outcome: CallOutcome): void {
--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -1,28 +1,28 @@
-import { ErrorKind, RanState, RequestError, type Clock } from '@jaymill/core'
+import { ErrorKind, isIdempotent, RanState, RequestError } from '@jaymill/core'
 import { abortError } from '../callers/JaymillAbortError.js'
 import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
 import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
-import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
-import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
+import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import type { PeerCallOptions, PeerCalls, PeerResponse } from '../peers/JaymillPeerCalls.js'
-import { OUT_OF_REACH_RETRY_AFTER_MS, PEER_STREAM_IDLE_TIMEOUT_MS } from './constants.js'
+import { MIN_CALL_MS, OUT_OF_REACH_RETRY_AFTER_MS, PEER_STREAM_IDLE_TIMEOUT_MS } from './constants.js'
 import type { ReachabilityMonitor } from './JaymillReachabilityMonitor.js'
 import { ResponseVerdict } from './JaymillResponseVerdict.js'
+import { chargeRetry, RetriedCall, type RetryContext } from './JaymillRetryRecord.js'
 import { RelayOutcome, type StreamRelay } from './JaymillStreamRelay.js'
 
 /** Dependencies of the forwarder. */
-export interface PeerForwarderContext {
+export interface PeerForwarderContext extends RetryContext {
   readonly calls: PeerCalls
   readonly reachability: ReachabilityMonitor
-  readonly clock: Clock
-  readonly log: GatewayLog
-  readonly metrics: GatewayMetrics
 }
 
-/** Serves requests through other hosts while this one reaches no endpoint of their service. */
+/**
+ * Serves requests through other hosts while this one reaches no endpoint of their service. A host that fails does not tell how many
+ * endpoints have run the request: of the runs that a route allows, one is kept for a second host.
+ */
 export class PeerForwarder {
   private readonly _context: PeerForwarderContext
 
@@ -50,25 +50,23 @@
   }
 
   /**
-   * Forwards a plain request and responds with the result. The other host retries it; it is not forwarded twice, since nothing tells
-   * how many endpoints have run it when that host fails.
+   * Forwards a plain request and responds with the result.
    *
    * @param request - The request.
-   * @param attempts - Number of endpoints that may run it.
    * @throws RequestError when there is no response of an endpoint.
    */
-  async forwardPlain (request: GatewayRequest, attempts: number): Promise<void> {
+  async forwardPlain (request: GatewayRequest): Promise<void> {
     const { log, metrics } = this._context
-    const { response: { status, headers, body } } = await this._open(request, { attempts }, false)
-    const bytes = await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) })
-    sendResponse(request.res, { status, headers, body: bytes })
+    const response = await this._retry(request, 0, async (runs, attempts) => await this._collect(request, runs, attempts))
+    const { status } = response
+    sendResponse(request.res, response)
     const ms = this._elapsedMs(request)
     metrics.recordResponse(request.route.kind, status, ms)
     log.request(request.id, 'answered', { status, route: request.route.name, ms, config: request.version })
   }
 
   /**
-   * Forwards a stream and relays its events. The other host resumes it when an endpoint fails.
+   * Forwards a stream and relays its events.
    *
    * @param request - The request.
    * @param relay - Relay to the caller, which may have sent events already.
@@ -76,8 +74,47 @@
    * @throws RequestError when the stream can't be completed.
    */
   async forwardStream (request: GatewayRequest, relay: StreamRelay, runs: number): Promise<void> {
+    await this._retry(request, runs, async (ran, attempts) => await this._forwardStreamOnce(request, relay, ran, attempts), () => relay.acceptsRun)
+  }
+
+  /**
+   * Forwards a request, and once more when the other host, or an endpoint there, has failed and the route allows another run.
+   *
+   * @param request - The request.
+   * @param runs - Calls that may have run it already.
+   * @param forward - Forwards it, given the calls so far and the number of endpoints that may run it there.
+   * @param acceptsRun - Whether the caller can still take the response of another run.
+   * @returns The result of the last call.
+   * @throws RequestError of the last call.
+   */
+  private async _retry<Result> (
+    request: GatewayRequest, runs: number, forward: (runs: number, attempts: number) => Promise<Result>, acceptsRun: () => boolean = () => true
+  ): Promise<Result> {
+    const left = request.route.maxAttempts - runs
+    const attempts = isIdempotent(request.route) ? Math.max(1, left - 1) : left
+    try {
+      return await forward(runs, attempts)
+    } catch (err) {
+      if (attempts >= left || !acceptsRun() || !this._mayRetry(request, err)) throw err
+    }
+    return await this._retry(request, runs + attempts, forward, acceptsRun)
+  }
+
+  private _mayRetry (request: GatewayRequest, err: unknown): boolean {
+    if (!(err instanceof RequestError) || err.ran !== RanState.Unknown || request.signal.aborted) return false
+    if (request.deadlineMs - this._context.clock.nowMs() < MIN_CALL_MS) return false
+    return chargeRetry(this._context, request, RetriedCall.Forwarded) !== undefined
+  }
+
+  private async _collect (request: GatewayRequest, runs: number, attempts: number): Promise<BufferedResponse> {
+    const { response: { status, headers, body } } = await this._open(request, { attempts }, runs > 0)
+    const bytes = await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) })
+    return { status, headers, body: bytes }
+  }
+
+  private async _forwardStreamOnce (request: GatewayRequest, relay: StreamRelay, runs: number, attempts: number): Promise<void> {
     const { metrics, log } = this._context
-    const opened = await this._open(request, { attempts: request.route.maxAttempts - runs, lastEventId: relay.lastEventId }, runs > 0 || relay.started)
+    const opened = await this._open(request, { attempts, lastEventId: relay.lastEventId }, runs > 0 || relay.started)
     const { peer, response, verdict } = opened
     if (verdict === ResponseVerdict.Failed && !relay.started) {
       sendResponse(request.res, { ...response, body: await bufferBody(response.body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) }) })
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -43,7 +43,7 @@
   async forward (request: GatewayRequest): Promise<void> {
     this._context.crashes.admit(request)
     this._countRequest(request)
-    if (this._context.peers.shouldForward(request)) await this._context.peers.forwardPlain(request, request.route.maxAttempts)
+    if (this._context.peers.shouldForward(request)) await this._context.peers.forwardPlain(request)
     else await this._tryNext(request, { tried: [] })
   }
 
@@ -122,7 +122,7 @@
     if (request.signal.aborted) throw abortError(request, mayHaveRun)
     if (mayHaveRun) throw new RequestError(ErrorKind.EndpointFailed, 'the endpoint gave no usable answer', { ran: RanState.Unknown })
     if (tried.length > 0 && tried.every(({ failure }) => failure === ExchangeFailure.Connect)) {
-      await this._context.peers.forwardPlain(request, request.route.maxAttempts)
+      await this._context.peers.forwardPlain(request)
       return
     }
     throw this._noEndpointError(request, tried.map(({ endpoint }) => endpoint.id))
--- a/packages/gateway/src/forwarding/JaymillPrefillRetries.ts
+++ b/packages/gateway/src/forwarding/JaymillPrefillRetries.ts
@@ -1,8 +1,7 @@
 import type { RetryCharge } from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { PREFILL_CAUTION_MS } from './constants.js'
-import type { ForwardingContext } from './JaymillForwardingContext.js'
-import { recordRetry, RetriedCall } from './JaymillRetryRecord.js'
+import { recordRetry, RetriedCall, type RetryContext } from './JaymillRetryRecord.js'
 
 /** What became of a prefill call, as it affects the retry budget. */
 export enum PrefillOutcome {
@@ -29,13 +28,13 @@
  * though nobody can know before. While prefills of a service fail, one retry is therefore held back for each call.
  */
 export class PrefillRetries {
-  private readonly _context: Pick<ForwardingContext, 'budget' | 'hostCount' | 'clock' | 'log' | 'metrics'>
+  private readonly _context: RetryContext
   private readonly _failedMs = new Map<string, number>()
 
   /**
    * @param context - Components of the host.
    */
-  constructor (context: Pick<ForwardingContext, 'budget' | 'hostCount' | 'clock' | 'log' | 'metrics'>) {
+  constructor (context: RetryContext) {
     this._context = context
   }
 
--- a/packages/gateway/src/peers/JaymillPeerCalls.ts
+++ b/packages/gateway/src/peers/JaymillPeerCalls.ts
@@ -100,9 +100,9 @@
     } catch (err) {
       if (!(err instanceof ExchangeError || err instanceof RequestError)) throw err
       this._record(request, peer, err instanceof ExchangeError ? err.failure : err.kind, startMs)
-      const otherMayTake = err.ran === RanState.No && (err instanceof ExchangeError || HOST_REFUSALS.includes(err.kind))
-      if (!otherMayTake) throw err
-      if (!request.signal.aborted) this._pausedUntilMs.set(pauseKey(request.service.name, peer), clock.nowMs() + PEER_PAUSE_MS)
+      const isHostFailure = err instanceof ExchangeError || HOST_REFUSALS.includes(err.kind)
+      if (isHostFailure && !request.signal.aborted) this._pausedUntilMs.set(pauseKey(request.service.name, peer), clock.nowMs() + PEER_PAUSE_MS)
+      if (!isHostFailure || err.ran !== RanState.No) throw err
       return undefined
     }
   }
