Notice lost paths to endpoints while open connections live on

Callers of a host that could make no new connection to the endpoints, while open ones lived on, were refused for as long as that lasted: each stream that can't be resumed got 503.

Cause: a host concluded that a service is out of reach from three failures in a row without a response in between. Reservations, which use open connections, got their responses in between the decode calls that failed to connect. The same responses ended the state as soon as it was noticed (after 9 and 19 ms in the logs). Class: a sign of life that comes another way than what it is taken to show. Looked for elsewhere: liveness of hosts counts datagrams, and forwarding to a host uses the calls' own outcome; the source's connection is one and the same.

Change: responses over open connections no longer outweigh endpoints that accept no new one. Two such endpoints within 5 s raise a doubt, in which three others are asked over new connections; five, or all of the service, without one that responds over a new connection mean that it is out of reach. Only a response over a new connection ends that state.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -270,5 +270,14 @@
 /** Endpoints that can't be reached in a row, without a response of the service, for a host to have lost its paths to the service. */
 export const OUT_OF_REACH_ENDPOINTS = 3
 
+/** Endpoints that accept no new connection, without another one that does, for a host to have lost its paths to the service. */
+export const OUT_OF_REACH_CONNECT_FAILURES = 5
+
+/** Number of such endpoints that leaves it in doubt. */
+export const DOUBTFUL_ENDPOINTS = 2
+
+/** Time for which such an endpoint counts, in milliseconds. */
+export const CONNECT_FAILURE_MEMORY_MS = 5_000
+
 /** Time for which a removed endpoint is remembered, in milliseconds; several times the age of a copy that the source is restored from. */
 export const REMOVED_ENDPOINT_MEMORY_MS = 120_000
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -140,12 +140,13 @@
     ])
     this._roleController.start(signal)
     const { calls, dialect } = this._adapters
-    calls.onResponse(({ endpoint, requestId }, { status, headers }) => {
-      this._forwardingContext.reachability.responded(endpoint)
+    calls.onResponse(({ endpoint, requestId, ownConnection }, { status, headers }) => {
+      this._forwardingContext.reachability.responded(endpoint, ownConnection)
       this._forwardingContext.admission.responded(endpoint, requestId, dialect.responseMetadata(status, headers))
     })
     calls.onFailure(({ endpoint }, failure) => {
-      if (failure === ExchangeFailure.Connect || failure === ExchangeFailure.Broken) this._forwardingContext.reachability.unreachable(endpoint)
+      const connecting = failure === ExchangeFailure.Connect
+      if (connecting || failure === ExchangeFailure.Broken) this._forwardingContext.reachability.unreachable(endpoint, connecting)
     })
     this._watchMetrics()
   }
@@ -182,7 +183,7 @@
   private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
-    const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, log, signal: this._abort.signal })
+    const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, random, log, signal: this._abort.signal })
     const peerCalls = new PeerCalls({
       port: this._settings.listen.peers?.port,
       peers: () => this._heartbeats.workingPeers,
--- a/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
+++ b/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
@@ -1,10 +1,10 @@
-import { ServiceReachability, type Clock, type EndpointRecord } from '@jaymill/core'
+import { PathEvidence, ServiceReachability, type Clock, type EndpointRecord, type Random } from '@jaymill/core'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { WireDialect } from '../ports/JaymillWireDialect.js'
-import { PROBE_FIRST_MS, PROBE_MAX_MS, PROBE_RELAPSE_MS, PROBE_TIMEOUT_MS } from './constants.js'
+import { DOUBT_PROBES, PROBE_FIRST_MS, PROBE_MAX_MS, PROBE_RELAPSE_MS, PROBE_TIMEOUT_MS } from './constants.js'
 
 /** Dependencies of the monitor. */
 export interface ReachabilityMonitorContext {
@@ -12,6 +12,7 @@
   readonly calls: EndpointCalls
   readonly dialect: WireDialect
   readonly clock: Clock
+  readonly random: Random
   readonly log: GatewayLog
   /** Ends the probes. */
   readonly signal: AbortSignal
@@ -36,6 +37,8 @@
   private readonly _context: ReachabilityMonitorContext
   private readonly _reachability = new ServiceReachability()
   private readonly _probes = new Map<string, ServiceProbes>()
+  /** Services whose endpoints are probed to remove a doubt. */
+  private readonly _doubted = new Set<string>()
   private readonly _lossListeners: Array<(service: string) => void> = []
 
   /**
@@ -71,18 +74,25 @@
    * Records that an endpoint could not be reached.
    *
    * @param endpoint - The endpoint.
+   * @param connecting - Whether no connection could be made.
    */
-  unreachable ({ id, service, stage }: EndpointRecord): void {
-    const { state, calls, clock, log } = this._context
+  unreachable ({ id, service, stage }: EndpointRecord, connecting: boolean): void {
+    const { state, clock } = this._context
     const endpoints = state.directory.usable(service)
     // Engines of one role may be the only ones that requests get to.
     const alike = endpoints.filter(record => record.stage === stage).length
-    if (!this._reachability.recordFailure(service, id, alike)) return
+    const evidence = this._reachability.recordFailure({ service, endpointId: id, connecting, alike, endpoints: endpoints.length }, clock.nowMs())
+    if (evidence === PathEvidence.Loss) this._lost(service, endpoints, id)
+    if (evidence === PathEvidence.Doubt) this._probeOthers(service, endpoints)
+  }
+
+  private _lost (service: string, endpoints: readonly EndpointRecord[], lastId: string): void {
+    const { state, calls, clock, log } = this._context
     const nowMs = clock.nowMs()
     const before = this._probes.get(service)
     const relapsed = before?.endedMs !== undefined && nowMs - before.endedMs < PROBE_RELAPSE_MS
     const intervalMs = relapsed ? Math.min(PROBE_MAX_MS, 2 * before.intervalMs) : PROBE_FIRST_MS
-    log.stateChange('service out of reach', { service, endpoints: endpoints.length, last: id, directory: state.directory.revision })
+    log.stateChange('service out of reach', { service, endpoints: endpoints.length, last: lastId, directory: state.directory.revision })
     this._probes.set(service, { sinceMs: nowMs, endedMs: undefined, intervalMs, sent: before?.sent ?? 0, timer: undefined })
     endpoints.forEach(endpoint => calls.closeConnections(endpoint))
     this._scheduleProbe(service)
@@ -93,10 +103,11 @@
    * Records that an endpoint has responded.
    *
    * @param endpoint - The endpoint.
+   * @param newConnection - Whether the connection was made for this call.
    */
-  responded ({ id, service }: EndpointRecord): void {
+  responded ({ id, service }: EndpointRecord, newConnection: boolean): void {
     const { clock, log } = this._context
-    if (!this._reachability.recordResponse(service)) return
+    if (!this._reachability.recordResponse(service, newConnection)) return
     const probes = this._probes.get(service)
     if (probes === undefined) return
     clearTimeout(probes.timer)
@@ -121,28 +132,45 @@
     probes.timer = setTimeout(() => this._probe(service), probes.intervalMs).unref()
   }
 
+  /** Probes endpoints that have not refused a connection of late; a response of one shows that the paths work. */
+  private _probeOthers (service: string, endpoints: readonly EndpointRecord[]): void {
+    if (this._doubted.has(service)) return
+    const refusing = this._reachability.refusing(service)
+    const others = endpoints
+      .filter(({ id }) => !refusing.includes(id))
+      .map(endpoint => ({ endpoint, order: this._context.random.next() }))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, DOUBT_PROBES)
+    this._doubted.add(service)
+    this._context.log.stateChange('paths to service in doubt', { service, refusing: refusing.length, probes: others.length })
+    Promise.all(others.map(async ({ endpoint }) => await this._probeEndpoint(endpoint))).finally(() => this._doubted.delete(service))
+  }
+
   /**
    * A response of any status shows that the endpoint is in reach; the listener of the calls passes it to `responded`. A service
    * without endpoints is no longer out of reach: the next one to be published is tried like any other.
    */
   private _probe (service: string): void {
-    const { state, calls, dialect, signal } = this._context
+    const { state } = this._context
     const endpoints = state.directory.usable(service)
     const probes = this._probes.get(service)
     const endpoint = endpoints[(probes?.sent ?? 0) % Math.max(1, endpoints.length)]
     if (probes === undefined || endpoint === undefined) {
-      this._reachability.recordResponse(service)
+      this._reachability.recordResponse(service, true)
       return
     }
     probes.sent += 1
+    this._probeEndpoint(endpoint).finally(() => this._scheduleProbe(service))
+  }
+
+  /** Makes a call over a new connection. The listeners of the calls record what comes of it. */
+  private async _probeEndpoint (endpoint: EndpointRecord): Promise<void> {
+    const { state, calls, dialect, signal } = this._context
     const limit = new TimeLimit(signal, PROBE_TIMEOUT_MS)
-    const path = state.table?.service(service)?.healthPath ?? '/'
+    const path = state.table?.service(endpoint.service)?.healthPath ?? '/'
     const headers = [...dialect.callHeaders({ endpointId: endpoint.id, deadlineMs: PROBE_TIMEOUT_MS })]
-    calls.open({ endpoint, method: 'GET', path, headers, body: null, ownConnection: true }, limit.signal)
-      .then(({ body }) => { body.destroy() }, () => { /* The endpoint is still out of reach. */ })
-      .finally(() => {
-        limit.dispose()
-        this._scheduleProbe(service)
-      })
+    await calls.open({ endpoint, method: 'GET', path, headers, body: null, ownConnection: true }, limit.signal)
+      .then(({ body }) => { body.destroy() }, () => { /* Recorded as a failure. */ })
+    limit.dispose()
   }
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -109,6 +109,9 @@
 /** Time limit of a probe, in milliseconds; a busy endpoint still responds to its health check. */
 export const PROBE_TIMEOUT_MS = 1_000
 
+/** Number of endpoints that are probed when the paths to their service are in doubt. */
+export const DOUBT_PROBES = 3
+
 /** Time after which a caller may retry when no host reaches an endpoint, in milliseconds; one probe. */
 export const OUT_OF_REACH_RETRY_AFTER_MS = 500
 
