Keep a prefilled prompt when an engine refuses to run it

Cause: a run that an engine refused released the KV cache as well, and the next round prefilled the prompt again, which takes a third of a second and is charged to the retry budget besides the run.

Change: the KV cache stays with the request until an engine has fetched it, the run may have begun, or its engine drops it (`handleTtlMs`, less 100 ms for the fetch). It is freed when the request ends or goes to another host. The same for an engine that leaves during the prefill.

--- a/packages/gateway/src/forwarding/JaymillEngineReservations.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineReservations.ts
@@ -40,17 +40,27 @@
   }
 
   /**
-   * Releases a reservation and a prefilled prompt that a request no longer needs.
+   * Releases a reservation that a request no longer needs.
    *
    * @param request - The request.
    * @param reservation - Its reservation.
-   * @param prompt - Its prefilled prompt, if there is one.
    */
-  release (request: GatewayRequest, reservation: Reservation, prompt: PrefilledPrompt | undefined): void {
-    const { engines, log } = this._context
-    const failed = (what: string) => (err: Error) => log.request(request.id, 'release failed', { what, reason: err.message })
-    engines.release(reservation).catch(failed('reservation'))
-    if (prompt !== undefined) engines.free(prompt.endpoint, prompt.handle).catch(failed('prompt'))
+  release (request: GatewayRequest, reservation: Reservation): void {
+    this._context.engines.release(reservation).catch(err => this._releaseFailed(request, 'reservation', err))
+  }
+
+  /**
+   * Frees a prefilled prompt that a request no longer needs.
+   *
+   * @param request - The request.
+   * @param prompt - Its prompt.
+   */
+  free (request: GatewayRequest, prompt: PrefilledPrompt): void {
+    this._context.engines.free(prompt.endpoint, prompt.handle).catch(err => this._releaseFailed(request, 'prompt', err))
+  }
+
+  private _releaseFailed ({ id }: GatewayRequest, what: string, err: Error): void {
+    this._context.log.request(id, 'release failed', { what, reason: err.message })
   }
 
   private async _reserveAt (request: GatewayRequest, endpoint: EndpointRecord, prefillMs: number): Promise<Reservation | undefined> {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -14,7 +14,7 @@
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import {
-  DECODE_TOKEN_MS, FIRST_EVENT_MARGIN_MS, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS,
+  DECODE_TOKEN_MS, FIRST_EVENT_MARGIN_MS, KV_FETCH_MARGIN_MS, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS,
   PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
@@ -80,7 +80,8 @@
       return
     }
     demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
-    await this._round(request, { relay, hintTokens, runs: 0, rounds: 0, prefilled: false, avoidedIds: new Set() })
+    const progress: PromptProgress = { relay, hintTokens, runs: 0, rounds: 0, prefilled: false, prompt: undefined, avoidedIds: new Set() }
+    await this._round(request, progress).finally(() => this._freePrompt(request, progress))
   }
 
   private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
@@ -91,6 +92,7 @@
       const reservation = await this._reserve(request, progress)
       if (reservation === undefined) {
         if (this._chargeRound(request, progress) === undefined) throw this._finalError(request, progress)
+        this._freePrompt(request, progress)
         await this._context.peers.forwardStream(request, progress.relay, progress.runs)
         return
       }
@@ -143,7 +145,7 @@
       reserve: async () => await this._tryReserve(request, progress)
     })
     if (reservation !== undefined && !signal.aborted) return reservation
-    if (reservation !== undefined) this._reservations.release(request, reservation, undefined)
+    if (reservation !== undefined) this._reservations.release(request, reservation)
     if (signal.aborted) throw this._finalError(request, progress)
     if (peers.shouldForward(request, mayHaveRun)) return undefined
     if (mayHaveRun) throw this._finalError(request, progress)
@@ -161,7 +163,7 @@
   }
 
   private async _tryReserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation | undefined> {
-    const prefillMs = this._expectedPrefillMs(request)
+    const prefillMs = progress.prompt === undefined ? this._expectedPrefillMs(request) : 0
     if (prefillMs > PREFILL_BACKLOG_MS) return undefined
     return await this._reservations.reserveFirst(request, this._enginesToProbe(request, progress), prefillMs)
   }
@@ -205,8 +207,8 @@
   /** Prefills and decodes a request. Returns whether another round is needed. */
   private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
     const charge = this._chargeRound(request, progress)
-    const release = (prompt?: PrefilledPrompt): void => {
-      this._reservations.release(request, reservation, prompt)
+    const release = (): void => {
+      this._reservations.release(request, reservation)
       charge?.refund()
     }
     if (charge === undefined) {
@@ -214,21 +216,20 @@
       throw this._finalError(request, progress)
     }
     this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._estimates.decodeMs(request), release)
-    const location = this._prefillPlacement.choose(this._placementOptions(request, reservation.endpoint))
-    const prompt = location === PrefillLocation.Prefill ? await this._prefill(request, progress, new Set()) : undefined
+    progress.prompt = this._keptPrompt(request, progress) ?? await this._prefillFor(request, progress, reservation.endpoint)
     if (request.signal.aborted) {
-      release(prompt)
+      release()
       throw this._finalError(request, progress)
     }
     if (!this._isUsable(reservation.endpoint)) {
       this._context.log.request(request.id, 'reserved engine left', { endpoint: reservation.endpoint.id, directory: this._context.state.directory.revision })
-      release(prompt)
+      release()
       return true
     }
-    this._checkStage(request, progress, () => this._estimates.decodeMs(request), () => release(prompt))
+    this._checkStage(request, progress, () => this._estimates.decodeMs(request), release)
     charge.moveTo(this._context.clock.nowMs())
     const run = this._context.crashes.track(request, reservation.endpoint)
-    const response = await this._openDecode(request, progress, reservation, prompt, run)
+    const response = await this._openDecode(request, progress, reservation, run)
     if (response === undefined) return true
     return await this._relayStream(request, progress, run, response)
   }
@@ -252,6 +253,26 @@
     return this._context.state.directory.usable(service).some(record => record.id === id)
   }
 
+  /** Returns the prompt of an earlier round if its engine still holds it, and frees it otherwise. */
+  private _keptPrompt (request: GatewayRequest, progress: PromptProgress): PrefilledPrompt | undefined {
+    const { prompt } = progress
+    if (prompt === undefined) return undefined
+    const ageMs = this._context.clock.nowMs() - prompt.prefilledMs
+    if (ageMs < (request.service.engine?.handleTtlMs ?? 0) - KV_FETCH_MARGIN_MS && this._isUsable(prompt.endpoint)) return prompt
+    this._freePrompt(request, progress)
+    return undefined
+  }
+
+  private _freePrompt (request: GatewayRequest, progress: PromptProgress): void {
+    if (progress.prompt !== undefined) this._reservations.free(request, progress.prompt)
+    progress.prompt = undefined
+  }
+
+  private async _prefillFor (request: GatewayRequest, progress: PromptProgress, engine: EndpointRecord): Promise<PrefilledPrompt | undefined> {
+    const location = this._prefillPlacement.choose(this._placementOptions(request, engine))
+    return location === PrefillLocation.Prefill ? await this._prefill(request, progress, new Set()) : undefined
+  }
+
   private async _prefill (request: GatewayRequest, progress: PromptProgress, tried: ReadonlySet<string>): Promise<PrefilledPrompt | undefined> {
     const endpoint = this._rankedEngines(request, EngineRole.Prefill, progress).find(record => !tried.has(record.id) && this._context.admission.allows(record))
     if (endpoint === undefined || request.signal.aborted) return undefined
@@ -306,14 +327,15 @@
     if (!isOwn) calls.closeConnections(endpoint)
     const result = isOwn && status === STATUS_OK ? engines.prefillResult(body) : undefined
     this._recordOutcome(endpoint, result === undefined ? CallOutcome.Unreachable : CallOutcome.Success)
-    return result === undefined ? undefined : { endpoint, address: endpoint.address, handle: result.handle }
+    return result === undefined ? undefined : { endpoint, address: endpoint.address, handle: result.handle, prefilledMs: this._context.clock.nowMs() }
   }
 
   private async _openDecode (
-    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: PrefilledPrompt | undefined, run: TrackedRun
+    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, run: TrackedRun
   ): Promise<StreamedResponse | undefined> {
     const { calls, dialect, log, clock, crashes } = this._context
     const { endpoint } = reservation
+    const { prompt } = progress
     const resumption = progress.relay.lastEventId === undefined ? {} : { lastEventId: progress.relay.lastEventId }
     const metadata = { reservationId: reservation.id, ...resumption, ...(prompt === undefined ? {} : { kvSource: prompt }) }
     const directPrefillMs = prompt === undefined ? this._expectedPrefillMs(request) : 0
@@ -333,34 +355,37 @@
       const response = await calls.open(this._call(request, endpoint, metadata), limit.signal)
       const verdict = classifyResponse(dialect, request.id, response.status, response.headers)
       finish(verdict)
-      return await this._handleDecodeResponse(request, progress, reservation, prompt, response, verdict)
+      return await this._handleDecodeResponse(request, progress, reservation, response, verdict)
     } catch (err) {
       limit.dispose()
       if (!(err instanceof ExchangeError)) throw err
       const notRun = err.ran === RanState.No
       finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
-      this._reservations.release(request, reservation, prompt)
+      this._reservations.release(request, reservation)
       if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
       if (!notRun && !request.signal.aborted) crashes.brokeOff(run)
-      if (!notRun) progress.runs += 1
+      if (!notRun) {
+        progress.runs += 1
+        this._freePrompt(request, progress)
+      }
       progress.avoidedIds.add(endpoint.id)
       return undefined
     }
   }
 
   private async _handleDecodeResponse (
-    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, prompt: PrefilledPrompt | undefined,
-    response: StreamedResponse, verdict: ResponseVerdict
+    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, response: StreamedResponse, verdict: ResponseVerdict
   ): Promise<StreamedResponse | undefined> {
     const { endpoint } = reservation
     if (verdict === ResponseVerdict.NotRun) {
       response.body.destroy()
-      this._reservations.release(request, reservation, prompt)
+      this._reservations.release(request, reservation)
       this._recordOutcome(endpoint, CallOutcome.Unreachable)
       progress.avoidedIds.add(endpoint.id)
       return undefined
     }
     progress.runs += 1
+    progress.prompt = undefined
     if (verdict === ResponseVerdict.Success) {
       this._recordOutcome(endpoint, CallOutcome.Success)
       return response
--- a/packages/gateway/src/forwarding/JaymillPromptProgress.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptProgress.ts
@@ -5,6 +5,8 @@
 /** KV cache of a prefilled prompt and the engine that holds it. */
 export interface PrefilledPrompt extends KvSource {
   readonly endpoint: EndpointRecord
+  /** Monotonic time at which the prefill had ended, in milliseconds. */
+  readonly prefilledMs: number
 }
 
 /** Progress of one generation request through the prefill and decode pools. */
@@ -18,6 +20,8 @@
   rounds: number
   /** Whether a prefill engine has prefilled the prompt; the first such call does not count as a retry. */
   prefilled: boolean
+  /** Prompt that no engine has fetched, since the one that should have did not run the request. */
+  prompt: PrefilledPrompt | undefined
   /** Engines that returned no usable response to this request. */
   readonly avoidedIds: Set<string>
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -49,6 +49,9 @@
 /** Idle time after which a resumable stream is resumed at another endpoint, in milliseconds. */
 export const STREAM_IDLE_TIMEOUT_MS = 1_500
 
+/** Time that an engine needs to fetch a prefilled prompt before the engine that holds it drops it, in milliseconds. */
+export const KV_FETCH_MARGIN_MS = 100
+
 /** Maximum number of rounds of reservation, prefill and decode for one request. */
 export const MAX_PROMPT_ROUNDS = 4
 
