Run a forwarded request again after a failure of the endpoint

Since a run is kept for a second host, a safe request that was forwarded and got the endpoint's own failure (500) was answered with it, although its route allows another run.

Cause: the other host may run it once only now, and the forwarding host took the endpoint's failure for the result. Change: it forwards the request once more in this case as well, within the route's limit and the retry budget; without either the failure is passed on as before.

Test, red before (500, 200, 500, 200 for four safe requests) and green after: "are run again after a failure of the endpoint only if they are idempotent", which also holds that other requests are not run again.

--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -1,11 +1,11 @@
-import { ErrorKind, isIdempotent, RanState, RequestError } from '@jaymill/core'
+import { ErrorKind, invariant, isIdempotent, RanState, RequestError } from '@jaymill/core'
 import { abortError } from '../callers/JaymillAbortError.js'
 import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
 import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
-import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
+import type { BufferedResponse, StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import type { PeerCallOptions, PeerCalls, PeerResponse } from '../peers/JaymillPeerCalls.js'
 import { MIN_CALL_MS, OUT_OF_REACH_RETRY_AFTER_MS, PEER_STREAM_IDLE_TIMEOUT_MS } from './constants.js'
 import type { ReachabilityMonitor } from './JaymillReachabilityMonitor.js'
@@ -19,6 +19,17 @@
   readonly reachability: ReachabilityMonitor
 }
 
+/** Result of forwarding a request. */
+interface ForwardedResult {
+  /** Response that still has to be sent to the caller. */
+  readonly response?: BufferedResponse
+  /** Whether it is a failure of the endpoint. */
+  readonly failed: boolean
+}
+
+/** Forwards a request, given the calls that may have run it so far and the number of endpoints that may run it there. */
+type ForwardCall = (runs: number, attempts: number) => Promise<ForwardedResult>
+
 /**
  * Serves requests through other hosts while this one reaches no endpoint of their service. A host that fails does not tell how many
  * endpoints have run the request: of the runs that a route allows, one is kept for a second host.
@@ -57,7 +68,8 @@
    */
   async forwardPlain (request: GatewayRequest): Promise<void> {
     const { log, metrics } = this._context
-    const response = await this._retry(request, 0, async (runs, attempts) => await this._collect(request, runs, attempts))
+    const { response } = await this._retry(request, 0, async (runs, attempts) => await this._collect(request, runs, attempts))
+    invariant(response !== undefined, 'a plain request has a response')
     const { status } = response
     sendResponse(request.res, response)
     const ms = this._elapsedMs(request)
@@ -74,7 +86,8 @@
    * @throws RequestError when the stream can't be completed.
    */
   async forwardStream (request: GatewayRequest, relay: StreamRelay, runs: number): Promise<void> {
-    await this._retry(request, runs, async (ran, attempts) => await this._forwardStreamOnce(request, relay, ran, attempts), () => relay.acceptsRun)
+    const { response } = await this._retry(request, runs, async (ran, attempts) => await this._forwardStreamOnce(request, relay, ran, attempts), () => relay.acceptsRun)
+    if (response !== undefined) sendResponse(request.res, response)
   }
 
   /**
@@ -82,50 +95,50 @@
    *
    * @param request - The request.
    * @param runs - Calls that may have run it already.
-   * @param forward - Forwards it, given the calls so far and the number of endpoints that may run it there.
+   * @param forward - Forwards it.
    * @param acceptsRun - Whether the caller can still take the response of another run.
    * @returns The result of the last call.
    * @throws RequestError of the last call.
    */
-  private async _retry<Result> (
-    request: GatewayRequest, runs: number, forward: (runs: number, attempts: number) => Promise<Result>, acceptsRun: () => boolean = () => true
-  ): Promise<Result> {
+  private async _retry (request: GatewayRequest, runs: number, forward: ForwardCall, acceptsRun: () => boolean = () => true): Promise<ForwardedResult> {
     const left = request.route.maxAttempts - runs
     const attempts = isIdempotent(request.route) ? Math.max(1, left - 1) : left
+    const mayRetry = (): boolean => attempts < left && acceptsRun() && this._chargeRetry(request)
     try {
-      return await forward(runs, attempts)
+      const result = await forward(runs, attempts)
+      if (!result.failed || !mayRetry()) return result
     } catch (err) {
-      if (attempts >= left || !acceptsRun() || !this._mayRetry(request, err)) throw err
+      if (!(err instanceof RequestError) || err.ran !== RanState.Unknown || !mayRetry()) throw err
     }
     return await this._retry(request, runs + attempts, forward, acceptsRun)
   }
 
-  private _mayRetry (request: GatewayRequest, err: unknown): boolean {
-    if (!(err instanceof RequestError) || err.ran !== RanState.Unknown || request.signal.aborted) return false
-    if (request.deadlineMs - this._context.clock.nowMs() < MIN_CALL_MS) return false
+  private _chargeRetry (request: GatewayRequest): boolean {
+    if (request.signal.aborted || request.deadlineMs - this._context.clock.nowMs() < MIN_CALL_MS) return false
     return chargeRetry(this._context, request, RetriedCall.Forwarded) !== undefined
   }
 
-  private async _collect (request: GatewayRequest, runs: number, attempts: number): Promise<BufferedResponse> {
-    const { response: { status, headers, body } } = await this._open(request, { attempts }, runs > 0)
-    const bytes = await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) })
-    return { status, headers, body: bytes }
+  private async _collect (request: GatewayRequest, runs: number, attempts: number): Promise<ForwardedResult> {
+    const { response, verdict } = await this._open(request, { attempts }, runs > 0)
+    return { response: await this._buffer(request, response), failed: verdict === ResponseVerdict.Failed }
   }
 
-  private async _forwardStreamOnce (request: GatewayRequest, relay: StreamRelay, runs: number, attempts: number): Promise<void> {
+  private async _buffer (request: GatewayRequest, { status, headers, body }: StreamedResponse): Promise<BufferedResponse> {
+    return { status, headers, body: await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) }) }
+  }
+
+  private async _forwardStreamOnce (request: GatewayRequest, relay: StreamRelay, runs: number, attempts: number): Promise<ForwardedResult> {
     const { metrics, log } = this._context
     const opened = await this._open(request, { attempts, lastEventId: relay.lastEventId }, runs > 0 || relay.started)
     const { peer, response, verdict } = opened
-    if (verdict === ResponseVerdict.Failed && !relay.started) {
-      sendResponse(request.res, { ...response, body: await bufferBody(response.body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) }) })
-      return
-    }
+    if (verdict === ResponseVerdict.Failed && !relay.started) return { response: await this._buffer(request, response), failed: true }
     const end = await this._relay(request, relay, opened)
     response.body.destroy()
     log.request(request.id, 'stream ended', { peer, end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
     if (end === RelayOutcome.Complete) metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
     if (end === RelayOutcome.Aborted) abortResponse(request.res)
     if (end === RelayOutcome.Broken) throw this._failed(request)
+    return { failed: false }
   }
 
   private async _relay (request: GatewayRequest, relay: StreamRelay, { response, verdict }: PeerResponse): Promise<RelayOutcome> {
