Shuffle in one place

Hosts to forward to and endpoints to probe in a doubt were ordered at random by code that the sampling of endpoints and a baseline chooser already had: four copies. They call one function now, which draws the same numbers in the same order.

--- a/packages/core/src/gateway/JaymillEndpointSampling.ts
+++ b/packages/core/src/gateway/JaymillEndpointSampling.ts
@@ -1,3 +1,4 @@
+import { shuffled } from '../JaymillShuffled.js'
 import type { Random } from '../ports/JaymillRandom.js'
 import { MIN_SAMPLED_ENDPOINTS } from './constants.js'
 import type { EndpointRecord } from './JaymillEndpointRecord.js'
@@ -34,8 +35,8 @@
  * @returns The sample and the remaining endpoints.
  */
 export function sampleEndpoints (records: readonly EndpointRecord[], zone: string, size: number, random: Random): EndpointSample {
-  const shuffled = records.map(record => ({ record, key: random.next() })).sort((a, b) => a.key - b.key).map(({ record }) => record)
-  const near = shuffled.filter(record => record.zone === zone).slice(0, Math.ceil(size / 2))
-  const sampled = new Set([...near, ...shuffled.filter(record => !near.includes(record)).slice(0, size - near.length)])
-  return { sampled: [...sampled], rest: shuffled.filter(record => !sampled.has(record)) }
+  const ordered = shuffled(records, random)
+  const near = ordered.filter(record => record.zone === zone).slice(0, Math.ceil(size / 2))
+  const sampled = new Set([...near, ...ordered.filter(record => !near.includes(record)).slice(0, size - near.length)])
+  return { sampled: [...sampled], rest: ordered.filter(record => !sampled.has(record)) }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './JaymillInvariant.js'
+export * from './JaymillShuffled.js'
 export * from './admission/index.js'
 export * from './burn/index.js'
 export * from './config/index.js'
--- a/packages/core/src/routing/JaymillBaselineChoosers.ts
+++ b/packages/core/src/routing/JaymillBaselineChoosers.ts
@@ -1,3 +1,4 @@
+import { shuffled } from '../JaymillShuffled.js'
 import type { Random } from '../ports/JaymillRandom.js'
 import { ChoiceRequest, EndpointCandidate, EndpointChooser, sortByCost } from './JaymillEndpointChooser.js'
 
@@ -25,12 +26,9 @@
 export class PowerOfTwoChooser extends EndpointChooser {
   /** {@inheritDoc EndpointChooser.order} */
   order (candidates: readonly EndpointCandidate[], _req: ChoiceRequest, random: Random): readonly string[] {
-    const shuffled = candidates
-      .map(candidate => ({ candidate, draw: random.next() }))
-      .sort((a, b) => a.draw - b.draw)
-      .map(({ candidate }) => candidate)
-    const pair = sortByCost(shuffled.slice(0, 2), candidate => candidate.usedSlots / candidate.slots)
-    return [...pair, ...shuffled.slice(2).map(candidate => candidate.endpointId)]
+    const ordered = shuffled(candidates, random)
+    const pair = sortByCost(ordered.slice(0, 2), candidate => candidate.usedSlots / candidate.slots)
+    return [...pair, ...ordered.slice(2).map(candidate => candidate.endpointId)]
   }
 }
 
--- a/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
+++ b/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
@@ -1,4 +1,4 @@
-import { PathEvidence, ServiceReachability, type Clock, type EndpointRecord, type Random } from '@jaymill/core'
+import { PathEvidence, ServiceReachability, shuffled, type Clock, type EndpointRecord, type Random } from '@jaymill/core'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
@@ -136,14 +136,10 @@
   private _probeOthers (service: string, endpoints: readonly EndpointRecord[]): void {
     if (this._doubted.has(service)) return
     const refusing = this._reachability.refusing(service)
-    const others = endpoints
-      .filter(({ id }) => !refusing.includes(id))
-      .map(endpoint => ({ endpoint, order: this._context.random.next() }))
-      .sort((a, b) => a.order - b.order)
-      .slice(0, DOUBT_PROBES)
+    const others = shuffled(endpoints.filter(({ id }) => !refusing.includes(id)), this._context.random).slice(0, DOUBT_PROBES)
     this._doubted.add(service)
     this._context.log.stateChange('paths to service in doubt', { service, refusing: refusing.length, probes: others.length })
-    Promise.all(others.map(async ({ endpoint }) => await this._probeEndpoint(endpoint))).finally(() => this._doubted.delete(service))
+    Promise.all(others.map(async endpoint => await this._probeEndpoint(endpoint))).finally(() => this._doubted.delete(service))
   }
 
   /**
--- a/packages/gateway/src/peers/JaymillPeerCalls.ts
+++ b/packages/gateway/src/peers/JaymillPeerCalls.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, fromProblem, isIdempotent, RanState, RequestError, type Clock, type EndpointRecord, type Random } from '@jaymill/core'
+import { ErrorKind, fromProblem, isIdempotent, RanState, RequestError, shuffled, type Clock, type EndpointRecord, type Random } from '@jaymill/core'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import { forwardedMetadataHeaders } from '../callers/JaymillForwardedRequest.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -125,23 +125,18 @@
     }
   }
 
-  /** Hosts that shut down come last: they may be the only ones that reach the service. */
+  /**
+   * Orders the hosts at random, so that the requests of many hosts that are cut off spread over the others. Those that shut down come
+   * last: they may be the only ones that reach the service.
+   */
   private _candidates (service: string): readonly string[] {
-    const { peers, stoppingPeers, clock } = this._context
+    const { peers, stoppingPeers, clock, random } = this._context
     const nowMs = clock.nowMs()
-    return [...this._shuffled(peers()), ...this._shuffled(stoppingPeers())]
+    return [...shuffled(peers(), random), ...shuffled(stoppingPeers(), random)]
       .filter(peer => (this._pausedUntilMs.get(pauseKey(service, peer)) ?? nowMs) <= nowMs)
       .slice(0, MAX_TRIED_PEERS)
   }
 
-  /** Orders hosts at random, so that the requests of many hosts that are cut off spread over the others. */
-  private _shuffled (peers: readonly string[]): readonly string[] {
-    return peers
-      .map(peer => ({ peer, order: this._context.random.next() }))
-      .sort((a, b) => a.order - b.order)
-      .map(({ peer }) => peer)
-  }
-
   private _record (request: GatewayRequest, peer: string, outcome: string, startMs: number): void {
     const { log, metrics, clock } = this._context
     metrics.recordForwarded(outcome)
