Remove a method of the retry budget that only tests called

Since retries are charged (`tryCharge`), no product code calls `trySpend` of the fleet's budget. The tests call `tryCharge` with the same expectations.

--- a/packages/core/src/__tests__/unit/gateway/JaymillEndpointSelection.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillEndpointSelection.test.ts
@@ -73,7 +73,7 @@
     const host = Math.floor(random.next() ** 3 * hosts)
     const atMs = i * 10
     budgets[host]?.countRequest('s', atMs)
-    return { atMs, retried: budgets[host]?.trySpend('s', hosts, atMs) === true }
+    return { atMs, retried: budgets[host]?.tryCharge('s', hosts, atMs) !== undefined }
   })
   const windows = Array.from({ length: 30 }, (_, i) => events.filter(({ atMs }) => atMs >= i * 1_000 && atMs < i * 1_000 + bounds.windowMs))
   windows.forEach(window => {
--- a/packages/core/src/__tests__/unit/gateway/JaymillRetryBudget.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillRetryBudget.test.ts
@@ -39,7 +39,7 @@
       if (host === undefined) return
       host.budget.countRequest('s', nowMs)
       events.push({ atMs: nowMs, retry: false })
-      if (host.budget.trySpend('s', knownHosts(host), nowMs)) events.push({ atMs: nowMs, retry: true })
+      if (host.budget.tryCharge('s', knownHosts(host), nowMs) !== undefined) events.push({ atMs: nowMs, retry: true })
     })
   })
   return events
@@ -61,7 +61,7 @@
 
 test('a host that has lost sight of the others keeps its part of the minimum for some time', () => {
   const budget = new FleetRetryBudget(BOUNDS, -20_000)
-  const spend = (hosts: number, nowMs: number): number => Array.from({ length: 300 }).filter(() => budget.trySpend('s', hosts, nowMs)).length
+  const spend = (hosts: number, nowMs: number): number => Array.from({ length: 300 }).filter(() => budget.tryCharge('s', hosts, nowMs) !== undefined).length
   expect(spend(70, 0)).toBe(3)
   expect(spend(1, 30_000)).toBe(3)
   expect(spend(1, 200_000)).toBe(210)
@@ -70,7 +70,7 @@
 test('a window of zero allows no retries', () => {
   const budget = new FleetRetryBudget({ ratio: 0.2, minRetries: 10, windowMs: 0 }, -20_000)
   budget.countRequest('s', 0)
-  expect(budget.trySpend('s', 1, 0)).toBe(false)
+  expect(budget.tryCharge('s', 1, 0) !== undefined).toBe(false)
 })
 
 test('a refunded charge is left for another retry, and one that was not asked for is missing', () => {
@@ -80,8 +80,8 @@
   expect(budget.tryCharge('s', 1, 20_000)).toBeDefined()
   expect(budget.tryCharge('s', 1, 20_000)).toBeUndefined()
   charge?.refund()
-  expect(budget.trySpend('s', 1, 20_100)).toBe(true)
+  expect(budget.tryCharge('s', 1, 20_100) !== undefined).toBe(true)
   budget.charge('s', 20_200)
   Array.from({ length: 5 }).forEach(() => budget.countRequest('s', 20_300))
-  expect(budget.trySpend('s', 1, 20_300)).toBe(false)
+  expect(budget.tryCharge('s', 1, 20_300) !== undefined).toBe(false)
 })
--- a/packages/core/src/gateway/JaymillFleetRetryBudget.ts
+++ b/packages/core/src/gateway/JaymillFleetRetryBudget.ts
@@ -64,18 +64,6 @@
     if (this._bucketMs > 0) this._bucket(service, nowMs).requests += 1
   }
 
-  /**
-   * Takes one retry from the budget if one is left.
-   *
-   * @param service - Service to retry the request at.
-   * @param hosts - Hosts that share the budget, including this one.
-   * @param nowMs - Monotonic time in milliseconds.
-   * @returns Whether the retry is allowed.
-   */
-  trySpend (service: string, hosts: number, nowMs: number): boolean {
-    return this.tryCharge(service, hosts, nowMs) !== undefined
-  }
-
   /**
    * Tells whether a retry is left, for one that is made later.
    *
@@ -91,7 +79,8 @@
   }
 
   /**
-   * Takes one retry from the budget if one is left, for a call that is made later, or that only counts if it fails.
+   * Takes one retry from the budget if one is left. The charge can be returned or moved, for a call that only counts if it fails or that
+   * is made later.
    *
    * @param service - Service to call.
    * @param hosts - Hosts that share the budget, including this one.
