Review: an answer without a length that its runner resets looks complete

Run: review/1/run.sh five times, twice with TROUBLE=0, on a machine under other load; twice more on a quiet one.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec node case.mjs
