Report a connection that is reset as broken, also when its reset arrives with data

Cause: libuv reports a reset that it finds in the same poll as data as a regular end; the error stays unread on the socket. The HTTP client then ends the body. The guard against resets only saw error events, and held for all connections of the process at once.

Change: connections are sockets of a class of their own, in a package that gateway and adapters share. The code ECONNRESET, which the HTTP client takes for the end of a body without a length, is replaced in error events. The service client of jaymilld had the same guard and the same fault, and now uses the same sockets.

Conclusion: how a connection ended is decided where it ends. Over TLS a reset in the same poll still looks like an end.

--- a/packages/adapters/src/__tests__/failure/JaymillHttpServiceClient.test.ts
+++ b/packages/adapters/src/__tests__/failure/JaymillHttpServiceClient.test.ts
@@ -80,6 +80,16 @@
     await expect(text(response.body)).rejects.toMatchObject({ ran: RanState.Unknown })
   })
 
+  // Guards against: a truncated body looks complete, since libuv reports a reset that arrives with the last bytes as a regular end.
+  test('reports a body without a length and without chunks as broken when a reset arrives together with its bytes', async () => {
+    const url = await rawServer(socket => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhalf')
+      socket.resetAndDestroy()
+    })
+    const { body } = await client.send(call(url), shutdown.signal)
+    await expect(text(body)).rejects.toMatchObject({ ran: RanState.Unknown })
+  })
+
   // Guards against: undici reports a body without framing as complete when its connection is reset.
   test('reports a body without a length and without chunks as broken when its connection is reset', async () => {
     let endpointSocket: Socket | undefined
--- a/packages/adapters/src/endpoints/JaymillEndpointPools.ts
+++ b/packages/adapters/src/endpoints/JaymillEndpointPools.ts
@@ -1,6 +1,6 @@
+import { createConnector } from '@jaymill/http'
 import { Client, Pool } from 'undici'
 import { CONNECTION_TTL_MS, CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, MAX_CONNECTIONS } from './constants.js'
-import { ResetTracker } from './JaymillResetTracker.js'
 
 /** Limits of the connections to one endpoint. */
 export interface ConnectionLimits {
@@ -23,8 +23,6 @@
 
 /** Maintains one connection pool for each endpoint. */
 export class EndpointPools {
-  /** Tracks resets of the connections of all pools. */
-  readonly resets = new ResetTracker()
   private readonly _limits: ConnectionLimits
   private readonly _pools = new Map<string, Pool>()
 
@@ -48,7 +46,7 @@
     const pool = new Pool(origin, {
       connections: this._limits.maxConnections,
       pipelining: 1,
-      connect: this.resets.connector(this._limits.connectTimeoutMs),
+      connect: createConnector(this._limits.connectTimeoutMs),
       keepAliveTimeout: this._limits.idleMs,
       keepAliveMaxTimeout: this._limits.idleMs,
       clientTtl: this._limits.ttlMs
@@ -64,7 +62,7 @@
    * @returns A client that has not connected yet.
    */
   createClient (url: string): Client {
-    return new Client(new URL(url).origin, { pipelining: 1, connect: { timeout: this._limits.connectTimeoutMs } })
+    return new Client(new URL(url).origin, { pipelining: 1, connect: createConnector(this._limits.connectTimeoutMs) })
   }
 
   /**
--- a/packages/adapters/src/endpoints/JaymillHttpServiceClient.ts
+++ b/packages/adapters/src/endpoints/JaymillHttpServiceClient.ts
@@ -88,7 +88,7 @@
       return exchange.toError(err, signal, call.url)
     }
     try {
-      const res = await exchange.request(pool.compose(this._pools.resets.interceptor), opts)
+      const res = await exchange.request(pool, opts)
       return toServiceResponse(call, res, withConvertedErrors(res.body, convertError))
     } catch (err) {
       throw convertError(err)
--- a/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
@@ -48,6 +48,35 @@
   expect(await failureOf(endpoint, own)).toBe(ExchangeFailure.Broken)
 })
 
+// Guards against: a truncated response looks complete, since libuv reports a reset that arrives with the last bytes as a regular end.
+test.each([true, false])('reports a body without a length as broken when a reset arrives together with its bytes (own connection %s)', async own => {
+  const endpoint = await serve(socket => {
+    socket.write(`${HEAD}\r\nhalf`)
+    socket.resetAndDestroy()
+  })
+  expect(await failureOf(endpoint, own)).toBe(ExchangeFailure.Broken)
+})
+
+// Guards against: the check for a reset fails whole responses of endpoints that close their connections at once, or late.
+test.each<[string, (socket: Socket) => void]>([
+  ['closes both directions at once', socket => { socket.end(`${HEAD}\r\nwhole`); socket.destroySoon() }],
+  ['closes late', socket => { socket.write(`${HEAD}\r\nwhole`); setTimeout(() => socket.end(), 50) }],
+  ['ends its direction, then resets the connection', socket => { socket.end(`${HEAD}\r\nwhole`, () => socket.resetAndDestroy()) }]
+])('accepts a body without a length as complete when the endpoint %s', async (_name, respond) => {
+  expect(await collect(await serve(respond), true)).toBe('whole')
+  expect(await collect(await serve(respond), false)).toBe('whole')
+})
+
+// Guards against: a response is complete, and a reset behind it makes it a failure.
+test.each([
+  ['a length', 'Content-Length: 5\r\n\r\nwhole'],
+  ['a last chunk', 'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n']
+])('accepts a body that ends with %s as complete when a reset follows at once', async (_framing, rest) => {
+  const respond = (socket: Socket): void => { socket.write(HEAD + rest); socket.resetAndDestroy() }
+  expect(await collect(await serve(respond), true)).toBe('whole')
+  expect(await collect(await serve(respond), false)).toBe('whole')
+})
+
 test('reports a body that is shorter than its length as broken', async () => {
   const endpoint = await serve(socket => socket.end(`${HEAD}Content-Length: 10\r\n\r\nhalf`))
   expect(await failureOf(endpoint, true)).toBe(ExchangeFailure.Broken)
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -1,10 +1,10 @@
-import type { Socket } from 'node:net'
-import { buildConnector, Client, errors, Pool, type Dispatcher } from 'undici'
+import { Client, Pool, type Dispatcher } from 'undici'
 import type { EndpointRecord } from '@jaymill/core'
+import { createConnector } from '@jaymill/http'
 import { readBounded } from '../JaymillBoundedBytes.js'
 import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, MAX_RESPONSE_HEAD_BYTES, POOL_CONNECTIONS } from './constants.js'
 import { ExchangeError, ExchangeFailure } from './JaymillExchangeError.js'
-import { ResponseHandler, type BufferedResponse, type ResetState, type StreamedResponse } from './JaymillStreamedResponse.js'
+import { ResponseHandler, type BufferedResponse, type StreamedResponse } from './JaymillStreamedResponse.js'
 
 /** One HTTP call to an endpoint. */
 export interface EndpointCall {
@@ -32,7 +32,6 @@
 /** Makes HTTP calls to endpoints, over keep-alive connections where that is safe. */
 export class EndpointCalls {
   private readonly _pools = new Map<string, Pool>()
-  private readonly _connector = new ResetTrackingConnector()
   private readonly _responseListeners: ResponseListener[] = []
   private readonly _failureListeners: FailureListener[] = []
 
@@ -66,7 +65,7 @@
     if (signal.aborted) throw new ExchangeError(ExchangeFailure.Connect, 'the call was cancelled before it was sent')
     const dispatcher = call.ownConnection ? this._client(call.endpoint) : this._pool(call.endpoint)
     const response = new Promise<StreamedResponse>((resolve, reject) => {
-      dispatcher.dispatch(toOptions(call), new ResponseHandler(signal, resolve, reject, this._connector))
+      dispatcher.dispatch(toOptions(call), new ResponseHandler(signal, resolve, reject))
     })
     try {
       const opened = call.ownConnection ? await closeWithBody(dispatcher as Client, response) : await response
@@ -105,23 +104,20 @@
   }
 
   private _client ({ address }: EndpointRecord): Client {
-    return new Client(`http://${address}`, this._options())
-  }
-
-  private _options (): Client.Options {
-    return { ...CLIENT_OPTIONS, connect: this._connector.connect }
+    return new Client(`http://${address}`, CLIENT_OPTIONS)
   }
 
   private _pool ({ address }: EndpointRecord): Pool {
     const existing = this._pools.get(address)
     if (existing !== undefined) return existing
-    const pool = new Pool(`http://${address}`, { ...this._options(), connections: POOL_CONNECTIONS })
+    const pool = new Pool(`http://${address}`, { ...CLIENT_OPTIONS, connections: POOL_CONNECTIONS })
     this._pools.set(address, pool)
     return pool
   }
 }
 
 const CLIENT_OPTIONS: Client.Options = {
+  connect: createConnector(CONNECT_TIMEOUT_MS),
   pipelining: 1,
   maxHeaderSize: MAX_RESPONSE_HEAD_BYTES,
   headersTimeout: 0,
@@ -130,38 +126,6 @@
   keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
 }
 
-/** Opens connections and reports, while the listeners of a failed connection run, that it is being reset. */
-class ResetTrackingConnector implements ResetState {
-  private readonly _connect = buildConnector({ timeout: 0 })
-  private _resetting = false
-
-  /** {@inheritDoc ResetState.resetting} */
-  get resetting (): boolean {
-    return this._resetting
-  }
-
-  /** Connector for undici. */
-  readonly connect: buildConnector.connector = (options, done) => {
-    // The timeout of undici is counted in steps of 500 ms.
-    const timer = setTimeout(() => socket.destroy(new errors.ConnectTimeoutError(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
-    const socket = connectorOf(this._connect)(options, (...result) => {
-      clearTimeout(timer)
-      result[1]?.prependListener('error', () => this._markResetting())
-      done(...result)
-    })
-  }
-
-  private _markResetting (): void {
-    this._resetting = true
-    process.nextTick(() => { this._resetting = false })
-  }
-}
-
-/** undici's connector returns its socket, which its declaration leaves out. */
-function connectorOf (connect: buildConnector.connector): (...args: Parameters<buildConnector.connector>) => Socket {
-  return connect as (...args: Parameters<buildConnector.connector>) => Socket
-}
-
 async function closeWithBody (client: Client, pending: Promise<StreamedResponse>): Promise<StreamedResponse> {
   const destroy = (): void => { client.destroy().catch(() => { /* The client is already closed. */ }) }
   try {
--- a/packages/gateway/src/endpoints/JaymillStreamedResponse.ts
+++ b/packages/gateway/src/endpoints/JaymillStreamedResponse.ts
@@ -19,17 +19,11 @@
   readonly body: Buffer
 }
 
-/** Reports whether a connection is being reset at this moment. */
-export interface ResetState {
-  readonly resetting: boolean
-}
-
 /** Receives one response from undici and records whether the request was sent. */
 export class ResponseHandler implements Dispatcher.DispatchHandler {
   private readonly _resolve: (response: StreamedResponse) => void
   private readonly _reject: (err: ExchangeError) => void
   private readonly _signal: AbortSignal
-  private readonly _resetState: ResetState
   private _controller: Dispatcher.DispatchController | undefined
   private _body: Readable | undefined
   private readonly _onAbort = (): void => this._abort()
@@ -38,11 +32,9 @@
    * @param signal - Cancels the exchange.
    * @param resolve - Called with the response when its head has arrived.
    * @param reject - Called with the failure when no head arrives.
-   * @param resetState - Reset state of the connections that the response may arrive on.
    */
-  constructor (signal: AbortSignal, resolve: (response: StreamedResponse) => void, reject: (err: ExchangeError) => void, resetState: ResetState) {
+  constructor (signal: AbortSignal, resolve: (response: StreamedResponse) => void, reject: (err: ExchangeError) => void) {
     this._signal = signal
-    this._resetState = resetState
     this._resolve = resolve
     this._reject = reject
     signal.addEventListener('abort', this._onAbort, { once: true })
@@ -84,11 +76,8 @@
     if (!this._body.push(chunk)) controller.pause()
   }
 
-  /** Ends the body as complete, unless the connection was reset. undici also calls this when a reset ends a body without a length. */
+  /** Ends the body as complete. */
   onResponseEnd (): void {
-    if (this._resetState.resetting) {
-      this._body?.destroy(new ExchangeError(ExchangeFailure.Broken, 'the connection was reset while the body was being received'))
-    }
     this._signal.removeEventListener('abort', this._onAbort)
     this._controller = undefined
     this._body?.push(null)
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,2 @@
+export * from './JaymillConnectionSocket.js'
+export * from './JaymillConnector.js'
