Forward every response with framing of its own

Cause: the host kept the endpoint's framing, so that the end of the caller's connection was the end of the response, and the system ends the connections of a killed process regularly. The framing was kept because a regular end can't be verified; but it is what completes such a body (RFC 9112, section 8), and the host now knows whether it was regular.

Ruled out: that something ends the response before the process dies (streams in chunks, of the same host, lack their last chunk).

Change: buffered responses get a length, streams chunks, also in jaymilld; the header by which its hosts told each other to remove the framing is gone.

Found on the way, not fixed: a response with status 304 and a length to GET is rejected by the HTTP client and becomes 502.

--- a/packages/daemon/src/callers/JaymillRelayedResponse.ts
+++ b/packages/daemon/src/callers/JaymillRelayedResponse.ts
@@ -8,26 +8,20 @@
 export interface RelayedHead {
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
-  /** Whether only the end of the connection marks the end of the body. */
-  readonly closeDelimited: boolean
 }
 
-/** Responses whose body comes from an endpoint, by whether only the end of their connection marks their end. */
-const relayedResponses = new WeakMap<ServerResponse, boolean>()
+/** Responses whose body comes from an endpoint. */
+const relayedResponses = new WeakSet<ServerResponse>()
 
 /**
- * Sends the head of a response that is passed on. Whether a body that ends with its connection is complete cannot be verified,
- * so it is passed on with the same framing (RFC 9112, section 6.3): chunks would mark a truncated body as complete.
+ * Sends the head of a response that is passed on. Its body goes on in chunks, also when the endpoint ends it with its connection:
+ * this host may be killed, and the system then ends the caller's connection like that of a complete response.
  *
  * @param res - Response to the caller or peer.
- * @param head - Status, headers and framing.
+ * @param head - Status and headers.
  */
-export function writeRelayedHead (res: ServerResponse, { status, headers, closeDelimited }: RelayedHead): void {
-  relayedResponses.set(res, closeDelimited)
-  if (closeDelimited) {
-    res.removeHeader('Transfer-Encoding')
-    res.setHeader('Connection', 'close')
-  }
+export function writeRelayedHead (res: ServerResponse, { status, headers }: RelayedHead): void {
+  relayedResponses.add(res)
   res.writeHead(status, headers)
 }
 
@@ -42,24 +36,20 @@
 }
 
 /**
- * Breaks off a response so that it does not look complete. One that is delimited by the end of its connection is reset, since a
- * regular end would complete it. The reset waits until the caller has probably read what was sent: an event loop that finds data
- * and a reset at the same time may report the data and a regular end (libuv does).
+ * Breaks off a response so that it does not look complete. A response to HTTP/1.0 has no chunks and is ended by its connection, so
+ * it is reset. The reset waits until the caller has probably read what was sent: an event loop that finds data and a reset at the
+ * same time may report the data and a regular end (libuv does).
  *
  * @param res - Response to the caller or peer.
  * @param delayMs - Time before a reset, in milliseconds.
  */
 export function abortResponse (res: ServerResponse, delayMs = RESET_DELAY_MS): void {
-  if (!endsWithConnection(res)) res.destroy()
+  const endsWithConnection = res.headersSent && res.req.httpVersion === HTTP_WITHOUT_CHUNKS
+  if (!endsWithConnection) res.destroy()
   else if (delayMs === 0) resetConnection(res)
   else setTimeout(() => resetConnection(res), delayMs)
 }
 
-/** A response over HTTP/1.0 has no chunks. */
-function endsWithConnection (res: ServerResponse): boolean {
-  return relayedResponses.get(res) === true || (res.headersSent && res.req.httpVersion === HTTP_WITHOUT_CHUNKS)
-}
-
 /** Node.js cannot reset a TLS connection; only peers use TLS, and their responses have chunks. */
 function resetConnection ({ socket }: ServerResponse): void {
   if (socket === null || socket.destroyed) return
--- a/packages/daemon/src/callers/JaymillServiceHandler.ts
+++ b/packages/daemon/src/callers/JaymillServiceHandler.ts
@@ -107,8 +107,7 @@
 async function pipeResponse (
   res: ServerResponse, response: ServiceResponse, requestId: string, stallMs: number, signal: AbortSignal
 ): Promise<void> {
-  const { status, closeDelimited } = response
-  writeRelayedHead(res, { status, headers: { ...responseHeaders(response.headers), 'X-Request-Id': requestId }, closeDelimited })
+  writeRelayedHead(res, { status: response.status, headers: { ...responseHeaders(response.headers), 'X-Request-Id': requestId } })
   for await (const chunk of response.body) {
     await writeToCaller(res, chunk, stallMs, signal)
   }
--- a/packages/daemon/src/idempotency/JaymillForwardClient.ts
+++ b/packages/daemon/src/idempotency/JaymillForwardClient.ts
@@ -4,9 +4,7 @@
 import { writeToCaller } from '../callers/JaymillCallerExchange.js'
 import { writeRelayedHead } from '../callers/JaymillRelayedResponse.js'
 import { responseHeaders } from '../callers/JaymillServiceCall.js'
-import {
-  ACCOUNT_HEADER, CLOSE_DELIMITED_HEADER, KEY_HEADER, MINTED_HEADER, PROBLEM_HEADER, REASON_HEADER, RECALL_HEADER
-} from './constants.js'
+import { ACCOUNT_HEADER, KEY_HEADER, MINTED_HEADER, PROBLEM_HEADER, REASON_HEADER, RECALL_HEADER } from './constants.js'
 import type { KeyedArrival } from './JaymillKeyedArrival.js'
 import { UndecidedError } from './JaymillUndecidedError.js'
 
@@ -50,8 +48,7 @@
 }
 
 async function pipe (ownerResponse: OwnerResponse, res: ServerResponse, stallMs: number, signal: AbortSignal): Promise<void> {
-  const { [CLOSE_DELIMITED_HEADER]: closeDelimited, ...headers } = responseHeaders(ownerResponse.headers)
-  writeRelayedHead(res, { status: ownerResponse.statusCode, headers, closeDelimited: closeDelimited !== undefined })
+  writeRelayedHead(res, { status: ownerResponse.statusCode, headers: responseHeaders(ownerResponse.headers) })
   for await (const chunk of ownerResponse.body) {
     await writeToCaller(res, chunk, stallMs, signal)
   }
--- a/packages/daemon/src/idempotency/JaymillResponseRelay.ts
+++ b/packages/daemon/src/idempotency/JaymillResponseRelay.ts
@@ -2,9 +2,9 @@
 import type { ServiceResponse } from '@jaymill/adapters'
 import { MAX_STORED_RESPONSE_BYTES, StoredResponse } from '@jaymill/core'
 import { writeToCaller } from '../callers/JaymillCallerExchange.js'
-import { writeRelayedHead, type RelayedHead } from '../callers/JaymillRelayedResponse.js'
+import { writeRelayedHead } from '../callers/JaymillRelayedResponse.js'
 import { responseHeaders } from '../callers/JaymillServiceCall.js'
-import { CLOSE_DELIMITED_HEADER, REPLAYED_HEADER } from './constants.js'
+import { REPLAYED_HEADER } from './constants.js'
 import type { KeyedArrival } from './JaymillKeyedArrival.js'
 
 /**
@@ -27,7 +27,7 @@
   const headers = responseHeaders(endpointResponse.headers)
   const chunks: Uint8Array[] = []
   let size = 0
-  writeRelayedHead(res, toHead(endpointResponse, headers, arrival))
+  writeRelayedHead(res, { status, headers: { ...headers, 'X-Request-Id': arrival.requestId } })
   for await (const chunk of endpointResponse.body) {
     size += chunk.byteLength
     if (size <= MAX_STORED_RESPONSE_BYTES) chunks.push(chunk)
@@ -37,14 +37,6 @@
   return canStore ? { status, headers, body: Buffer.concat(chunks) } : undefined
 }
 
-/** Chunks go to another host, which can tell from them whether the response broke off; it then uses the framing of the header. */
-function toHead (
-  { status, closeDelimited }: ServiceResponse, headers: RelayedHead['headers'], { requestId, forwarded }: KeyedArrival
-): RelayedHead {
-  const framing: RelayedHead['headers'] = forwarded && closeDelimited ? { [CLOSE_DELIMITED_HEADER]: '1' } : {}
-  return { status, headers: { ...headers, 'X-Request-Id': requestId, ...framing }, closeDelimited: closeDelimited && !forwarded }
-}
-
 /**
  * Sends a stored response.
  *
--- a/packages/daemon/src/idempotency/constants.ts
+++ b/packages/daemon/src/idempotency/constants.ts
@@ -34,9 +34,6 @@
 /** Header that distinguishes a problem document of a host from a response of an endpoint. */
 export const PROBLEM_HEADER = 'x-jaymill-problem'
 
-/** Header of a response between hosts: `1` when only the end of the endpoint's connection marked the end of the body. */
-export const CLOSE_DELIMITED_HEADER = 'x-jaymill-close-delimited'
-
 /** Timeout of a recall request to a former owner of a key, in milliseconds. */
 export const RECALL_TIMEOUT_MS = 1_000
 
--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -39,9 +39,6 @@
   return !HOP_BY_HOP_HEADERS.has(name) && name !== 'content-length' && name !== 'expect'
 }
 
-/** Responses whose end is marked only by the end of their connection. */
-const closeDelimitedResponses = new WeakSet<ServerResponse>()
-
 /**
  * Tells whether only the end of its connection marked the end of a response that has arrived.
  *
@@ -54,52 +51,33 @@
 }
 
 /**
- * Prepares a response whose end is marked only by the end of its connection (RFC 9112, section 6.3). Whether such a response
- * is complete cannot be verified, so it is forwarded with the same framing: a length would mark a truncated body as complete.
- *
- * @param res - Response to the caller.
- * @param headers - Headers of the endpoint's response.
- * @returns Whether the endpoint's response is delimited by the end of its connection.
- */
-export function prepareCloseDelimited (res: ServerResponse, headers: IncomingHttpHeaders): boolean {
-  if (!isCloseDelimited(headers)) return false
-  res.removeHeader('Transfer-Encoding')
-  res.setHeader('Connection', 'close')
-  closeDelimitedResponses.add(res)
-  return true
-}
-
-/**
- * Breaks off a response so that it does not look complete to the caller. One that is delimited by the end of its connection is
- * reset, since a regular end would complete it. The reset waits until the caller has probably read what was sent: an event loop
- * that finds data and a reset at the same time may report the data and a regular end (libuv does).
+ * Breaks off a response so that it does not look complete to the caller. A response to HTTP/1.0 has no chunks and is ended by its
+ * connection, so it is reset. The reset waits until the caller has probably read what was sent: an event loop that finds data and a
+ * reset at the same time may report the data and a regular end (libuv does).
  *
  * @param res - Response to the caller.
  * @param delayMs - Time before a reset, in milliseconds.
  */
 export function abortResponse (res: ServerResponse, delayMs = RESET_DELAY_MS): void {
-  if (!endsWithConnection(res)) res.destroy()
+  const endsWithConnection = res.headersSent && res.req.httpVersion === HTTP_WITHOUT_CHUNKS
+  if (!endsWithConnection) res.destroy()
   else if (delayMs === 0) resetConnection(res)
   else setTimeout(() => resetConnection(res), delayMs)
 }
 
-/** A response over HTTP/1.0 has no chunks. */
-function endsWithConnection (res: ServerResponse): boolean {
-  return closeDelimitedResponses.has(res) || (res.headersSent && res.req.httpVersion === HTTP_WITHOUT_CHUNKS)
-}
-
 function resetConnection ({ socket }: ServerResponse): void {
   if (socket?.destroyed === false) socket.resetAndDestroy()
 }
 
 /**
- * Forwards a buffered response of an endpoint to the caller.
+ * Forwards a buffered response of an endpoint to the caller. It gets a length, also when the endpoint has ended it with its
+ * connection: this host may be killed, and the system then ends the caller's connection like that of a complete response.
  *
  * @param res - Response to the caller.
  * @param response - Response of the endpoint.
  */
 export function sendResponse (res: ServerResponse, { status, headers, body }: BufferedResponse): void {
-  const length = prepareCloseDelimited(res, headers) ? {} : { 'content-length': body.length }
+  const length = mayHaveBody(res.req.method, status) ? { 'content-length': body.length } : {}
   res.writeHead(status, { ...endToEndHeaders(headers), ...length })
   res.end(body)
 }
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -1,5 +1,5 @@
 import { EventAssembler, EventPassThrough, RouteKind, type EventForwarding } from '@jaymill/core'
-import { endedWithConnection, endToEndHeaders, prepareCloseDelimited } from '../callers/JaymillCallerResponse.js'
+import { endedWithConnection, endToEndHeaders } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_EVENT_BYTES } from '../endpoints/constants.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
@@ -79,7 +79,6 @@
     const { res } = this._request
     if (!res.headersSent) {
       this._hasEvents = this._isEventStream(response)
-      prepareCloseDelimited(res, response.headers)
       res.writeHead(response.status, this._head(response))
       res.flushHeaders()
     }
