Refuse requests that can not be forwarded to their callers alone

One caller that sent 20 requests a second with two Host headers made a host refuse 156 of 428 sound requests of other callers: the HTTP client does not send such a request, and the host took that for a connection that could not be made, at each endpoint, and held the service out of reach.

Cause: every failure before a request is sent counted as a failed connection. Besides two Host headers, the HTTP client refuses a header name with a space, an empty one, and a path with a tab, all of which Node.js accepts.

Ruled out: header values and methods (Node.js refuses what the client would), and framing headers (not forwarded).

Change: a request with several Host headers, or an invalid one, gets 400 with the reason (RFC 9112, section 3.2). What the client does not send is an error of its own kind, not-forwardable (400), in the log and in the counter of refusals. No listener of failed calls sees it; no other endpoint or host is tried; the rate limit of the endpoint does not count it; reservations and prompts are released.

--- a/packages/core/src/errors/JaymillError.ts
+++ b/packages/core/src/errors/JaymillError.ts
@@ -9,6 +9,8 @@
 export enum ErrorKind {
   Invariant = 'invariant',
   BadRequest = 'bad-request',
+  /** The HTTP client of the host does not send the request. */
+  NotForwardable = 'not-forwardable',
   Unauthorized = 'unauthorized',
   NotFound = 'not-found',
   TooLarge = 'too-large',
--- a/packages/core/src/errors/JaymillRequestError.ts
+++ b/packages/core/src/errors/JaymillRequestError.ts
@@ -4,6 +4,7 @@
 export const STATUS_OF_KIND: Readonly<Record<ErrorKind, number>> = {
   [ErrorKind.Invariant]: 500,
   [ErrorKind.BadRequest]: 400,
+  [ErrorKind.NotForwardable]: 400,
   [ErrorKind.Unauthorized]: 401,
   [ErrorKind.NotFound]: 404,
   [ErrorKind.TooLarge]: 413,
--- a/packages/core/src/gateway/JaymillEndpointRateLimits.ts
+++ b/packages/core/src/gateway/JaymillEndpointRateLimits.ts
@@ -67,6 +67,15 @@
     this._sentMs.set(endpointId, [...recent, nowMs])
   }
 
+  /**
+   * Withdraws the last record of a request that has not been sent after all.
+   *
+   * @param endpointId - The endpoint.
+   */
+  withdrawSent (endpointId: string): void {
+    this._sentMs.set(endpointId, (this._sentMs.get(endpointId) ?? []).slice(0, -1))
+  }
+
   /**
    * @param endpointId - An endpoint.
    * @returns Requests per second that it accepts from all hosts together; `undefined` without a limit.
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -148,6 +148,7 @@
       const connecting = failure === ExchangeFailure.Connect
       if (connecting || failure === ExchangeFailure.Broken) this._forwardingContext.reachability.unreachable(endpoint, connecting)
     })
+    calls.onUnsent(({ endpoint }) => this._forwardingContext.admission.notSent(endpoint))
     this._watchMetrics()
   }
 
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -8,6 +8,7 @@
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
+import { checkHostHeader } from './JaymillHostHeader.js'
 import { listenOn } from './JaymillListener.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
 
@@ -99,6 +100,7 @@
     res.once('close', () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) res.setHeader('Connection', 'close')
     try {
+      checkHostHeader(req)
       const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -1,5 +1,5 @@
 import { Client, Pool, type Dispatcher } from 'undici'
-import type { EndpointRecord } from '@jaymill/core'
+import { ErrorKind, RequestError, type EndpointRecord } from '@jaymill/core'
 import { createConnector } from '@jaymill/http'
 import { readBounded } from '../JaymillBoundedBytes.js'
 import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MARGIN_MS, MAX_RESPONSE_HEAD_BYTES, POOL_CONNECTIONS } from './constants.js'
@@ -29,11 +29,15 @@
 /** Called with each call that got no response and was not cancelled. */
 export type FailureListener = (call: EndpointCall, failure: ExchangeFailure) => void
 
+/** Called with each call that the HTTP client does not send because of its request. */
+export type UnsentListener = (call: EndpointCall) => void
+
 /** Makes HTTP calls to endpoints, over keep-alive connections where that is safe. */
 export class EndpointCalls {
   private readonly _pools = new Map<string, Pool>()
   private readonly _responseListeners: ResponseListener[] = []
   private readonly _failureListeners: FailureListener[] = []
+  private readonly _unsentListeners: UnsentListener[] = []
 
   /**
    * Adds a listener for responses.
@@ -53,13 +57,22 @@
     this._failureListeners.push(listener)
   }
 
+  /**
+   * Adds a listener for calls that are not sent.
+   *
+   * @param listener - Called when the HTTP client has refused to send a call; this is no failure of the endpoint.
+   */
+  onUnsent (listener: UnsentListener): void {
+    this._unsentListeners.push(listener)
+  }
+
   /**
    * Sends a call and streams its response.
    *
    * @param call - The call.
    * @param signal - Cancels the call and closes its connection.
    * @returns The response, as soon as its head has arrived.
-   * @throws ExchangeError when no response head arrives.
+   * @throws ExchangeError when no response head arrives, or RequestError of kind `NotForwardable` when the request can't be sent.
    */
   async open (call: EndpointCall, signal: AbortSignal): Promise<StreamedResponse> {
     if (signal.aborted) throw new ExchangeError(ExchangeFailure.Connect, 'the call was cancelled before it was sent')
@@ -73,6 +86,7 @@
       return opened
     } catch (err) {
       if (err instanceof ExchangeError && !signal.aborted) this._failureListeners.forEach(listener => listener(call, err.failure))
+      if (err instanceof RequestError && err.kind === ErrorKind.NotForwardable) this._unsentListeners.forEach(listener => listener(call))
       throw err
     }
   }
@@ -84,7 +98,7 @@
    * @param maxBytes - Maximum size of the body, in bytes.
    * @param signal - Cancels the call.
    * @returns The complete response.
-   * @throws ExchangeError when no complete response arrives.
+   * @throws ExchangeError when no complete response arrives, or RequestError of kind `NotForwardable` when the request can't be sent.
    */
   async collect (call: EndpointCall, maxBytes: number, signal: AbortSignal): Promise<BufferedResponse> {
     const { status, headers, body } = await this.open(call, signal)
--- a/packages/gateway/src/endpoints/JaymillStreamedResponse.ts
+++ b/packages/gateway/src/endpoints/JaymillStreamedResponse.ts
@@ -1,7 +1,7 @@
 import { Readable } from 'node:stream'
 import type { IncomingHttpHeaders } from 'node:http'
-import type { Dispatcher } from 'undici'
-import { invariant } from '@jaymill/core'
+import { errors, type Dispatcher } from 'undici'
+import { ErrorKind, invariant, RanState, RequestError, type JaymillError } from '@jaymill/core'
 import { ExchangeError, ExchangeFailure } from './JaymillExchangeError.js'
 
 /** Response whose body is streamed. */
@@ -22,7 +22,7 @@
 /** Receives one response from undici and records whether the request was sent. */
 export class ResponseHandler implements Dispatcher.DispatchHandler {
   private readonly _resolve: (response: StreamedResponse) => void
-  private readonly _reject: (err: ExchangeError) => void
+  private readonly _reject: (err: JaymillError) => void
   private readonly _signal: AbortSignal
   private _controller: Dispatcher.DispatchController | undefined
   private _body: Readable | undefined
@@ -31,9 +31,10 @@
   /**
    * @param signal - Cancels the exchange.
    * @param resolve - Called with the response when its head has arrived.
-   * @param reject - Called with the failure when no head arrives.
+   * @param reject - Called with the failure when no head arrives: an `ExchangeError`, or a `RequestError` of kind `NotForwardable`
+   * when the client does not send the request.
    */
-  constructor (signal: AbortSignal, resolve: (response: StreamedResponse) => void, reject: (err: ExchangeError) => void) {
+  constructor (signal: AbortSignal, resolve: (response: StreamedResponse) => void, reject: (err: JaymillError) => void) {
     this._signal = signal
     this._resolve = resolve
     this._reject = reject
@@ -93,7 +94,8 @@
     this._signal.removeEventListener('abort', this._onAbort)
     const failure = new ExchangeError(this._classify(err), err.message, { cause: err })
     this._controller = undefined
-    if (this._body === undefined) this._reject(failure)
+    if (isUnsendable(err)) this._reject(new RequestError(ErrorKind.NotForwardable, `the request can't be forwarded: ${err.message}`, { ran: RanState.No, cause: err }))
+    else if (this._body === undefined) this._reject(failure)
     else this._body.destroy(failure)
   }
 
@@ -115,3 +117,8 @@
     else this._controller.abort(new ExchangeError(ExchangeFailure.Cancelled, 'the exchange was cancelled'))
   }
 }
+
+/** undici checks a request before it opens a connection. Such an error says nothing about the endpoint. */
+function isUnsendable (err: Error): boolean {
+  return err instanceof errors.InvalidArgumentError || err instanceof errors.NotSupportedError
+}
--- a/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
+++ b/packages/gateway/src/forwarding/JaymillEndpointAdmission.ts
@@ -58,6 +58,15 @@
     limits.recordSent(id, clock.nowMs())
   }
 
+  /**
+   * Withdraws the record of a request that has not been sent after all.
+   *
+   * @param endpoint - The endpoint.
+   */
+  notSent ({ id }: EndpointRecord): void {
+    this._context.limits.withdrawSent(id)
+  }
+
   /**
    * Reads what an endpoint asks for. Only the response to a caller's request can take something back: responses to other calls need
    * not repeat it, and one that belongs to another request is late.
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -75,7 +75,7 @@
     const startMs = clock.nowMs()
     const attempt = await calls.collect(this._call(request, endpoint, NO_METADATA), MAX_BUFFERED_RESPONSE_BYTES, request.signal)
       .then(response => this._toAttempt(request, endpoint, response), err => this._toFailedAttempt(request, endpoint, err))
-    finished.abort()
+      .finally(() => finished.abort())
     const ms = clock.nowMs() - startMs
     if (attempt.verdict === ResponseVerdict.Success) {
       latencyModel.addMeasurement({ group: endpoint.service, endpointId: endpoint.id }, 1 + Math.floor(work.requests / Math.max(1, endpoint.slots)), ms, clock.nowMs())
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -216,7 +216,10 @@
       throw this._finalError(request, progress)
     }
     this._checkStage(request, progress, () => this._expectedFirstEventMs(request) + this._estimates.decodeMs(request), release)
-    progress.prompt = this._keptPrompt(request, progress) ?? await this._prefillFor(request, progress, reservation.endpoint)
+    progress.prompt = this._keptPrompt(request, progress) ?? await this._prefillFor(request, progress, reservation.endpoint).catch(err => {
+      release()
+      throw err
+    })
     if (request.signal.aborted) {
       release()
       throw this._finalError(request, progress)
@@ -296,17 +299,24 @@
     const startMs = clock.nowMs()
     let failure: ExchangeFailure | undefined
     const call = { ...this._call(request, endpoint, { role: EngineRole.Prefill }), ownConnection: false }
+    const end = (outcome: PrefillOutcome): void => {
+      limit.dispose()
+      prefillEnded.abort()
+      attempt.settle(outcome)
+    }
     const prompt = await calls.collect(call, MAX_BUFFERED_RESPONSE_BYTES, limit.signal).then(
       response => this._toPrefilledPrompt(request, endpoint, response),
-      (err: ExchangeError) => {
+      err => {
+        if (!(err instanceof ExchangeError)) {
+          end(PrefillOutcome.Unsent)
+          throw err
+        }
         if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
         failure = err.failure
         return undefined
       }
     )
-    limit.dispose()
-    prefillEnded.abort()
-    attempt.settle(prefillOutcome(prompt, failure, request.signal))
+    end(prefillOutcome(prompt, failure, request.signal))
     const ms = clock.nowMs() - startMs
     if (prompt !== undefined) latencyModel.addMeasurement({ group: prefillGroup(endpoint.service), endpointId: endpoint.id }, work.tokens + tokens, ms, clock.nowMs())
     const outcome = prompt === undefined ? 'failed' : 'read'
@@ -358,7 +368,11 @@
       return await this._handleDecodeResponse(request, progress, reservation, response, verdict)
     } catch (err) {
       limit.dispose()
-      if (!(err instanceof ExchangeError)) throw err
+      directPrefill.abort()
+      if (!(err instanceof ExchangeError)) {
+        this._reservations.release(request, reservation)
+        throw err
+      }
       const notRun = err.ran === RanState.No
       finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
       this._reservations.release(request, reservation)
