Log how streams end and what forbids another run, and write the last log lines

The log could not tell the hypotheses about a cut stream apart: a silent engine and one that broke off were both 'broken'; a caller that had left, a deadline and the end of a stop were all 'ended'; nothing told why no other engine got the request; and lines that waited for a slow reader were lost when the process ended.

No routing changes.

--- a/packages/gateway/src/callers/JaymillAbortError.ts
+++ b/packages/gateway/src/callers/JaymillAbortError.ts
@@ -16,6 +16,14 @@
     : new RequestError(ErrorKind.Overloaded, 'no endpoint had free capacity in time', { retryAfterMs: 0 })
 }
 
+/**
+ * @param request - A request.
+ * @returns Why it was aborted; `undefined` if it was not.
+ */
+export function abortReasonOf ({ signal }: GatewayRequest): AbortReason | undefined {
+  return signal.aborted ? signal.reason as AbortReason : undefined
+}
+
 function stoppedError (mayHaveRun: boolean): RequestError {
   return mayHaveRun
     ? new RequestError(ErrorKind.Deadline, 'the host stopped before an answer arrived', { ran: RanState.Unknown })
--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -1,5 +1,5 @@
 import { ErrorKind, invariant, isIdempotent, RanState, RequestError } from '@jaymill/core'
-import { abortError } from '../callers/JaymillAbortError.js'
+import { abortError, abortReasonOf } from '../callers/JaymillAbortError.js'
 import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
@@ -134,7 +134,7 @@
     if (verdict === ResponseVerdict.Failed && !relay.started) return { response: await this._buffer(request, response), failed: true }
     const end = await this._relay(request, relay, opened)
     response.body.destroy()
-    log.request(request.id, 'stream ended', { peer, end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
+    log.request(request.id, 'stream ended', { peer, end, failure: relay.failure, abortReason: abortReasonOf(request), bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
     if (end === RelayOutcome.Complete) metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
     if (end === RelayOutcome.Aborted) abortResponse(request.res)
     if (end === RelayOutcome.Broken) throw this._failed(request)
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -3,7 +3,7 @@
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions,
   type RetryCharge
 } from '@jaymill/core'
-import { abortError } from '../callers/JaymillAbortError.js'
+import { abortError, abortReasonOf } from '../callers/JaymillAbortError.js'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -28,6 +28,7 @@
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { RetriedCall } from './JaymillRetryRecord.js'
+import { RetryRefusal } from './JaymillRetryRefusal.js'
 import { classifyResponse, isOfOtherRequest, ResponseVerdict } from './JaymillResponseVerdict.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
@@ -110,10 +111,19 @@
     await this._round(request, progress)
   }
 
-  private _mayRetry (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): boolean {
-    if (request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || !relay.acceptsRun) return false
-    if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && rounds < MAX_PROMPT_ROUNDS && this._hasRetry(request, RetriedCall.Decode)
+  private _mayRetry (request: GatewayRequest, progress: PromptProgress): boolean {
+    const refusal = this._retryRefusal(request, progress)
+    if (refusal !== undefined) this._context.log.request(request.id, 'not run again', { reason: refusal, runs: progress.runs, rounds: progress.rounds, ms: this._elapsedMs(request) })
+    return refusal === undefined
+  }
+
+  private _retryRefusal (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): RetryRefusal | undefined {
+    if (request.signal.aborted) return RetryRefusal.Aborted
+    if (this._remainingMs(request) < MIN_CALL_MS) return RetryRefusal.Deadline
+    if (!relay.acceptsRun || (runs > 0 && !isIdempotent(request.route))) return RetryRefusal.NotIdempotent
+    if (runs >= request.route.maxAttempts) return RetryRefusal.Attempts
+    if (rounds >= MAX_PROMPT_ROUNDS) return RetryRefusal.Rounds
+    return this._hasRetry(request, RetriedCall.Decode) ? undefined : RetryRefusal.Budget
   }
 
   /** Charges a round that repeats the request only now: it may have waited for capacity since the last one failed. */
@@ -431,6 +441,8 @@
     log.request(request.id, 'stream ended', {
       endpoint: endpoint.id,
       end,
+      failure: progress.relay.failure,
+      abortReason: abortReasonOf(request),
       bytes: progress.relay.bytes,
       lastEvent: progress.relay.lastEventId,
       route: request.route.name,
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,5 +1,5 @@
 import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
-import { abortError } from '../callers/JaymillAbortError.js'
+import { abortError, abortReasonOf } from '../callers/JaymillAbortError.js'
 import { abortResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
@@ -8,6 +8,7 @@
 import { Forwarder } from './JaymillForwarder.js'
 import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { RetriedCall } from './JaymillRetryRecord.js'
+import { RetryRefusal } from './JaymillRetryRefusal.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
@@ -79,15 +80,26 @@
     })
     if (end === RelayOutcome.Broken) crashes.brokeOff(run)
     if (end === RelayOutcome.Complete) crashes.completed(run, relay.endedWithConnection)
-    this._context.log.request(request.id, 'stream ended', { end, bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
+    this._context.log.request(request.id, 'stream ended', { endpoint: run.endpoint.id, end, failure: relay.failure, abortReason: abortReasonOf(request), bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
     return end
   }
 
-  private _mayTry (request: GatewayRequest, { tried, runs, relay }: StreamProgress): boolean {
-    if (!relay.acceptsRun || request.signal.aborted || this._remainingMs(request) < MIN_CALL_MS || tried.length >= MAX_TRIED_ENDPOINTS) return false
-    if (tried.length > 0 && this._context.reachability.isOutOfReach(request.service.name)) return false
-    if (runs > 0 && !isIdempotent(request.route)) return false
-    return runs < request.route.maxAttempts && (tried.length === 0 || (!this._context.crashes.isQuarantined(request) && this._spendRetry(request, RetriedCall.Stream)))
+  private _mayTry (request: GatewayRequest, progress: StreamProgress): boolean {
+    const refusal = this._retryRefusal(request, progress)
+    if (refusal !== undefined) this._context.log.request(request.id, 'not run again', { reason: refusal, runs: progress.runs, tried: progress.tried.length, ms: this._elapsedMs(request) })
+    return refusal === undefined
+  }
+
+  private _retryRefusal (request: GatewayRequest, { tried, runs, relay }: StreamProgress): RetryRefusal | undefined {
+    if (request.signal.aborted) return RetryRefusal.Aborted
+    if (this._remainingMs(request) < MIN_CALL_MS) return RetryRefusal.Deadline
+    if (!relay.acceptsRun || (runs > 0 && !isIdempotent(request.route))) return RetryRefusal.NotIdempotent
+    if (runs >= request.route.maxAttempts) return RetryRefusal.Attempts
+    if (tried.length >= MAX_TRIED_ENDPOINTS) return RetryRefusal.Rounds
+    if (tried.length === 0) return undefined
+    if (this._context.reachability.isOutOfReach(request.service.name)) return RetryRefusal.OutOfReach
+    if (this._context.crashes.isQuarantined(request)) return RetryRefusal.Quarantined
+    return this._spendRetry(request, RetriedCall.Stream) ? undefined : RetryRefusal.Budget
   }
 
   private async _finish (request: GatewayRequest, progress: StreamProgress): Promise<void> {
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -32,6 +32,7 @@
   private _hasEvents = true
   private _bytes = 0
   private _endedWithConnection = false
+  private _failure: ExchangeFailure | undefined
 
   /**
    * @param request - Request whose caller receives the events.
@@ -62,6 +63,11 @@
     return this._endedWithConnection
   }
 
+  /** How the last response failed; `undefined` if it did not, or ended inside an event. */
+  get failure (): ExchangeFailure | undefined {
+    return this._failure
+  }
+
   /** Bytes forwarded so far. */
   get bytes (): number {
     return this._bytes
@@ -84,6 +90,7 @@
     }
     const events = this._resumable ? new EventAssembler() : new EventPassThrough()
     this._endedWithConnection = endedWithConnection(response, this._request.req.method)
+    this._failure = undefined
     const bytesBefore = this._bytes
     const idleTimer = this._startIdleTimer(response, idleTimeoutMs)
     try {
@@ -98,6 +105,7 @@
       return await this._finish(events, this._bytes === bytesBefore && this._endedWithConnection)
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err
+      this._failure = err.failure
       return this._request.signal.aborted ? RelayOutcome.Aborted : RelayOutcome.Broken
     } finally {
       clearTimeout(idleTimer)
--- a/packages/gateway/src/logging/JaymillBoundedOutput.ts
+++ b/packages/gateway/src/logging/JaymillBoundedOutput.ts
@@ -12,6 +12,7 @@
   private _pendingBytes = 0
   private _writing = false
   private _dropped = 0
+  private _waiting: Array<() => void> = []
 
   /**
    * @param fd - File descriptor, 1 for standard output.
@@ -26,6 +27,16 @@
     return this._dropped
   }
 
+  /**
+   * Waits until the lines that are buffered now have been written.
+   *
+   * @returns A promise that resolves when no line waits any more; never while the descriptor accepts nothing.
+   */
+  async flushed (): Promise<void> {
+    if (!this._writing) return
+    await new Promise<void>(resolve => { this._waiting.push(resolve) })
+  }
+
   /**
    * Buffers one line, or drops it when the buffer is full. Never applies backpressure.
    *
@@ -46,7 +57,11 @@
   }
 
   private _flush (): void {
-    if (this._writing || this._pendingBytes === 0) return
+    if (this._writing) return
+    if (this._pendingBytes === 0) {
+      this._waiting.splice(0).forEach(resolve => resolve())
+      return
+    }
     const batch = Buffer.concat(this._pending, this._pendingBytes)
     this._pending = []
     this._pendingBytes = 0
--- a/packages/gateway/src/logging/JaymillGatewayLog.ts
+++ b/packages/gateway/src/logging/JaymillGatewayLog.ts
@@ -1,5 +1,7 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { createLogger, format, transports, type Logger } from 'winston'
 import { BoundedOutput } from './JaymillBoundedOutput.js'
+import { LOG_FLUSH_MS } from './constants.js'
 
 /** Fields of one log line. Names are fixed; values are ids, numbers and enum members, never headers or bodies. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
@@ -7,6 +9,7 @@
 /** Structured log of a host: one JSON line for each decision and each state change. */
 export class GatewayLog {
   private readonly _logger: Logger
+  private readonly _output: NodeJS.WritableStream
 
   /**
    * @param level - Minimum level that is written.
@@ -14,6 +17,7 @@
    * @param output - Output stream; standard output by default.
    */
   constructor (level: string, host: string, output: NodeJS.WritableStream = new BoundedOutput(1)) {
+    this._output = output
     this._logger = createLogger({
       level,
       defaultMeta: { host },
@@ -52,4 +56,9 @@
   warn (message: string, fields: LogFields): void {
     this._logger.warn(message, fields)
   }
+
+  /** Waits until the lines so far are written, for a limited time: a reader that stands still must not keep the process. */
+  async flush (): Promise<void> {
+    if (this._output instanceof BoundedOutput) await Promise.race([this._output.flushed(), sleep(LOG_FLUSH_MS)])
+  }
 }
