Keep a silent run of a stream open until another one has sent events

Callers on resumable routes got a stream that was closed without its end, or 502, although every engine was sound: each fell silent for a second or two and would have gone on.

Cause: a time limit (1.5 s without data, or without a head) decided that a run was lost. Its connection was closed at once, before it was known whether another run could be made, and the second run was ended by the same limit. So the response was given up when two engines fell silent one after the other, or when the route, the retry budget, the deadline, missing capacity or a missing engine allowed no second run. Class: silence taken as evidence of an end. A host that forwards streams to another one did the same after 3 s; and the limit also ran while the host waited for a slow caller.

Change: a run that is silent for that time stays open. Another one is prepared beside it (reservation, prefill, decode call), and the first of the two to send events goes on; only then is the other one cancelled. Without another run, the silent one is waited for. An engine that is gone and one that is silent look alike, and callers of the former still get the next event as soon as before. No engine gets a second run of a request that it may still work on. The time only counts while the host waits for data. Runs of prompts, of plain streams and of forwarded ones share this (RunForwarder, StreamRun, raceSilence).

--- a/packages/gateway/src/endpoints/JaymillExchangeError.ts
+++ b/packages/gateway/src/endpoints/JaymillExchangeError.ts
@@ -8,8 +8,6 @@
   Broken = 'broken',
   /** The bytes received are not a valid response, or belong to another request. */
   Malformed = 'malformed',
-  /** No data arrived within the timeout. */
-  Timeout = 'silent',
   /** The exchange was cancelled by this process. */
   Cancelled = 'cancelled'
 }
--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -1,17 +1,16 @@
-import { ErrorKind, invariant, isIdempotent, RanState, RequestError } from '@jaymill/core'
-import { abortError, abortReasonOf } from '../callers/JaymillAbortError.js'
-import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
+import { ErrorKind, invariant, isIdempotent, RanState, RequestError, type GatewayRoute } from '@jaymill/core'
+import { abortError } from '../callers/JaymillAbortError.js'
+import { sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
 import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
 import { ExchangeError } from '../endpoints/JaymillExchangeError.js'
 import type { BufferedResponse, StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import type { PeerCallOptions, PeerCalls, PeerResponse } from '../peers/JaymillPeerCalls.js'
-import { MIN_CALL_MS, OUT_OF_REACH_RETRY_AFTER_MS, PEER_STREAM_IDLE_TIMEOUT_MS } from './constants.js'
+import { MIN_CALL_MS, OUT_OF_REACH_RETRY_AFTER_MS } from './constants.js'
 import type { ReachabilityMonitor } from './JaymillReachabilityMonitor.js'
 import { ResponseVerdict } from './JaymillResponseVerdict.js'
 import { chargeRetry, RetriedCall, type RetryContext } from './JaymillRetryRecord.js'
-import { RelayOutcome, type StreamRelay } from './JaymillStreamRelay.js'
 
 /** Dependencies of the forwarder. */
 export interface PeerForwarderContext extends RetryContext {
@@ -78,16 +77,13 @@
   }
 
   /**
-   * Forwards a stream and relays its events.
-   *
-   * @param request - The request.
-   * @param relay - Relay to the caller, which may have sent events already.
-   * @param runs - Calls that may have run the request already.
-   * @throws RequestError when the stream can't be completed.
+   * @param route - Route of a request.
+   * @param runs - Calls that may have run it already.
+   * @returns The number of endpoints that may run it at another host.
    */
-  async forwardStream (request: GatewayRequest, relay: StreamRelay, runs: number): Promise<void> {
-    const { response } = await this._retry(request, runs, async (ran, attempts) => await this._forwardStreamOnce(request, relay, ran, attempts), () => relay.acceptsRun)
-    if (response !== undefined) sendResponse(request.res, response)
+  attemptsOf (route: GatewayRoute, runs: number): number {
+    const left = route.maxAttempts - runs
+    return isIdempotent(route) ? Math.max(1, left - 1) : left
   }
 
   /**
@@ -96,21 +92,19 @@
    * @param request - The request.
    * @param runs - Calls that may have run it already.
    * @param forward - Forwards it.
-   * @param acceptsRun - Whether the caller can still take the response of another run.
    * @returns The result of the last call.
    * @throws RequestError of the last call.
    */
-  private async _retry (request: GatewayRequest, runs: number, forward: ForwardCall, acceptsRun: () => boolean = () => true): Promise<ForwardedResult> {
-    const left = request.route.maxAttempts - runs
-    const attempts = isIdempotent(request.route) ? Math.max(1, left - 1) : left
-    const mayRetry = (): boolean => attempts < left && acceptsRun() && this._chargeRetry(request)
+  private async _retry (request: GatewayRequest, runs: number, forward: ForwardCall): Promise<ForwardedResult> {
+    const attempts = this.attemptsOf(request.route, runs)
+    const mayRetry = (): boolean => runs + attempts < request.route.maxAttempts && this._chargeRetry(request)
     try {
       const result = await forward(runs, attempts)
       if (!result.failed || !mayRetry()) return result
     } catch (err) {
       if (!(err instanceof RequestError) || err.ran !== RanState.Unknown || !mayRetry()) throw err
     }
-    return await this._retry(request, runs + attempts, forward, acceptsRun)
+    return await this._retry(request, runs + attempts, forward)
   }
 
   private _chargeRetry (request: GatewayRequest): boolean {
@@ -119,7 +113,7 @@
   }
 
   private async _collect (request: GatewayRequest, runs: number, attempts: number): Promise<ForwardedResult> {
-    const { response, verdict } = await this._open(request, { attempts }, runs > 0)
+    const { response, verdict } = await this.open(request, { attempts }, runs > 0)
     return { response: await this._buffer(request, response), failed: verdict === ResponseVerdict.Failed }
   }
 
@@ -127,30 +121,16 @@
     return { status, headers, body: await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) }) }
   }
 
-  private async _forwardStreamOnce (request: GatewayRequest, relay: StreamRelay, runs: number, attempts: number): Promise<ForwardedResult> {
-    const { metrics, log } = this._context
-    const opened = await this._open(request, { attempts, lastEventId: relay.lastEventId }, runs > 0 || relay.started)
-    const { peer, response, verdict } = opened
-    if (verdict === ResponseVerdict.Failed && !relay.started) return { response: await this._buffer(request, response), failed: true }
-    const end = await this._relay(request, relay, opened)
-    response.body.destroy()
-    log.request(request.id, 'stream ended', { peer, end, failure: relay.failure, abortReason: abortReasonOf(request), bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
-    if (end === RelayOutcome.Complete) metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
-    if (end === RelayOutcome.Aborted) abortResponse(request.res)
-    if (end === RelayOutcome.Broken) throw this._failed(request)
-    return { failed: false }
-  }
-
-  private async _relay (request: GatewayRequest, relay: StreamRelay, { response, verdict }: PeerResponse): Promise<RelayOutcome> {
-    if (verdict === ResponseVerdict.Failed) return RelayOutcome.Broken
-    return await relay.forward(response, request.route.resumable ? PEER_STREAM_IDLE_TIMEOUT_MS : undefined, {
-      onFirst: () => this._context.metrics.recordFirstEvent(this._elapsedMs(request)),
-      onEvents: () => { /* The other host tracks the run. */ }
-    })
-  }
-
-  /** A request of another host is not forwarded again. */
-  private async _open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse> {
+  /**
+   * Sends a request to another host. One that comes from another host is not forwarded again.
+   *
+   * @param request - The request.
+   * @param options - What the other host may do.
+   * @param mayHaveRun - Whether an endpoint may have run it.
+   * @returns The response of an endpoint.
+   * @throws RequestError when there is none; `ran` tells whether the request may have run.
+   */
+  async open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse> {
     if (request.fromPeer) throw mayHaveRun ? this._failed(request) : outOfReachError()
     const opened = await this._context.calls.open(request, options).catch(err => {
       // The other host only knows whether the request has run there.
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -3,37 +3,43 @@
   PrefillLocation, RanState, RequestError, type EndpointRecord, type OutstandingWork, type PrefillPlacement, type PrefillPlacementOptions,
   type RetryCharge
 } from '@jaymill/core'
-import { abortError, abortReasonOf } from '../callers/JaymillAbortError.js'
+import { abortError } from '../callers/JaymillAbortError.js'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
-import { abortResponse, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
-import { bufferBody } from '../endpoints/JaymillEndpointCalls.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { BufferedResponse, StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import { TimeLimit } from '../endpoints/JaymillTimeLimit.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import {
-  DECODE_TOKEN_MS, FIRST_EVENT_MARGIN_MS, KV_FETCH_MARGIN_MS, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, MIN_CALL_MS, PREFILL_BACKLOG_MS,
-  PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_IDLE_TIMEOUT_MS
+  DECODE_TOKEN_MS, FIRST_EVENT_MARGIN_MS, KV_FETCH_MARGIN_MS, MAX_PROBES_PER_PASS, MAX_PROMPT_ROUNDS, PREFILL_BACKLOG_MS,
+  PREFILL_INITIAL_TOKEN_MS, PREFILL_TIMEOUT_FACTOR, PREFILL_TIMEOUT_MARGIN_MS, RETRY_DEADLINE_SHARE, STREAM_SILENCE_MS
 } from './constants.js'
 import { CapacityQueue } from './JaymillCapacityQueue.js'
 import { EngineReservations } from './JaymillEngineReservations.js'
-import { Forwarder } from './JaymillForwarder.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
 import { prefillGroup } from './JaymillLatencyGroups.js'
 import { PrefillOutcome, PrefillRetries, type PrefillAttempt } from './JaymillPrefillRetries.js'
 import { PromptEstimates } from './JaymillPromptEstimates.js'
 import type { PrefilledPrompt, PromptProgress } from './JaymillPromptProgress.js'
 import { kvTokensOf, promptTokensOf } from './JaymillPromptSize.js'
-import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
 import { RetriedCall } from './JaymillRetryRecord.js'
 import { RetryRefusal } from './JaymillRetryRefusal.js'
-import { classifyResponse, isOfOtherRequest, ResponseVerdict } from './JaymillResponseVerdict.js'
+import { isOfOtherRequest, ResponseVerdict } from './JaymillResponseVerdict.js'
+import { RunForwarder, type OpenedResponse } from './JaymillRunForwarder.js'
+import { StreamRelay } from './JaymillStreamRelay.js'
+import { RunEnd, type StreamRun } from './JaymillStreamRun.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
 const STATUS_OK = 200
 
+/** A run that capacity is reserved for. */
+interface ReservedRun {
+  readonly reservation: Reservation
+  /** Aborted when the run has ended. */
+  readonly finished: AbortController
+}
+
 /** Charge of the first round, which is no retry. */
 const NO_CHARGE: RetryCharge = { refund: () => {}, moveTo: () => {} }
 
@@ -42,7 +48,7 @@
  * at a prefill engine, then runs the request at the reserved engine. Unused reservations and KV caches are released however
  * the request ends.
  */
-export class PromptForwarder extends Forwarder {
+export class PromptForwarder extends RunForwarder<PromptProgress> {
   private readonly _queues = new Map<string, CapacityQueue>()
   private readonly _estimates: PromptEstimates
   private readonly _probeLimiter = new CapacityProbeLimiter()
@@ -75,57 +81,53 @@
     const hintTokens = original.metadata.prompt?.expectedOutputTokens ?? 0
     crashes.admit(request)
     this._countRequest(request)
-    const relay = new StreamRelay(request)
-    if (peers.shouldForward(request)) {
-      await peers.forwardStream(request, relay, 0)
-      return
+    if (!peers.shouldForward(request)) demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
+    const progress: PromptProgress = {
+      relay: new StreamRelay(request),
+      hintTokens,
+      runs: 0,
+      rounds: 0,
+      failure: undefined,
+      busyIds: new Set(),
+      prefilled: false,
+      prompt: undefined,
+      avoidedIds: new Set()
     }
-    demand.add(request.service.name, promptTokensOf(request), kvTokensOf(request), clock.nowMs())
-    const progress: PromptProgress = { relay, hintTokens, runs: 0, rounds: 0, prefilled: false, prompt: undefined, avoidedIds: new Set() }
-    await this._round(request, progress).finally(() => this._freePrompt(request, progress))
+    await this._serve(request, progress).finally(() => this._freePrompt(request, progress))
   }
 
-  private async _round (request: GatewayRequest, progress: PromptProgress): Promise<void> {
+  protected override async _begin (request: GatewayRequest, progress: PromptProgress): Promise<StreamRun | undefined> {
     progress.rounds += 1
-    const reservationEnded = new AbortController()
-    let engineId: string | undefined
+    const reservation = await this._reserve(request, progress)
+    if (reservation === undefined) {
+      if (this._chargeRound(request, progress) === undefined) throw this._finalError(request, progress)
+      this._freePrompt(request, progress)
+      return await this._beginAtPeer(request, progress)
+    }
+    const { endpoint } = reservation
+    const finished = this._trackRun(endpoint, kvTokensOf(request))
+    finished.signal.addEventListener('abort', () => {
+      this._probeLimiter.recordRelease(endpoint.id)
+      this._queue(request).capacityFreed()
+    }, { once: true })
+    let run: StreamRun | undefined
     try {
-      const reservation = await this._reserve(request, progress)
-      if (reservation === undefined) {
-        if (this._chargeRound(request, progress) === undefined) throw this._finalError(request, progress)
-        this._freePrompt(request, progress)
-        await this._context.peers.forwardStream(request, progress.relay, progress.runs)
-        return
-      }
-      engineId = reservation.endpoint.id
-      this._trackLoad(reservation.endpoint, kvTokensOf(request), reservationEnded.signal)
-      const needsAnotherRound = await this._run(request, progress, reservation)
-      if (!needsAnotherRound) return
+      run = await this._run(request, progress, { reservation, finished })
     } finally {
-      reservationEnded.abort()
-      if (engineId !== undefined) this._probeLimiter.recordRelease(engineId)
-      this._queue(request).capacityFreed()
+      if (run?.options.finished !== finished) finished.abort()
     }
-    if (request.res.writableEnded) return
-    if (!this._mayRetry(request, progress)) throw this._finalError(request, progress)
-    await this._round(request, progress)
-  }
-
-  private _mayRetry (request: GatewayRequest, progress: PromptProgress): boolean {
-    const refusal = this._retryRefusal(request, progress)
-    if (refusal !== undefined) this._context.log.request(request.id, 'not run again', { reason: refusal, runs: progress.runs, rounds: progress.rounds, ms: this._elapsedMs(request) })
-    return refusal === undefined
+    return run
   }
 
-  private _retryRefusal (request: GatewayRequest, { runs, rounds, relay }: PromptProgress): RetryRefusal | undefined {
-    if (request.signal.aborted) return RetryRefusal.Aborted
-    if (this._remainingMs(request) < MIN_CALL_MS) return RetryRefusal.Deadline
-    if (!relay.acceptsRun || (runs > 0 && !isIdempotent(request.route))) return RetryRefusal.NotIdempotent
-    if (runs >= request.route.maxAttempts) return RetryRefusal.Attempts
+  protected override _endpointRefusal (request: GatewayRequest, { rounds }: PromptProgress): RetryRefusal | undefined {
     if (rounds >= MAX_PROMPT_ROUNDS) return RetryRefusal.Rounds
     return this._hasRetry(request, RetriedCall.Decode) ? undefined : RetryRefusal.Budget
   }
 
+  protected override _releaseUnused (request: GatewayRequest, progress: PromptProgress): void {
+    this._freePrompt(request, progress)
+  }
+
   /** Charges a round that repeats the request only now: it may have waited for capacity since the last one failed. */
   private _chargeRound (request: GatewayRequest, { rounds }: PromptProgress): RetryCharge | undefined {
     return rounds === 1 ? NO_CHARGE : this._chargeRetry(request, RetriedCall.Decode)
@@ -214,8 +216,9 @@
     return due.slice(0, MAX_PROBES_PER_PASS)
   }
 
-  /** Prefills and decodes a request. Returns whether another round is needed. */
-  private async _run (request: GatewayRequest, progress: PromptProgress, reservation: Reservation): Promise<boolean> {
+  /** Prefills a request and runs it at the reserved engine. Resolves to `undefined` when another round is needed. */
+  private async _run (request: GatewayRequest, progress: PromptProgress, reserved: ReservedRun): Promise<StreamRun | undefined> {
+    const { reservation } = reserved
     const charge = this._chargeRound(request, progress)
     const release = (): void => {
       this._reservations.release(request, reservation)
@@ -237,14 +240,11 @@
     if (!this._isUsable(reservation.endpoint)) {
       this._context.log.request(request.id, 'reserved engine left', { endpoint: reservation.endpoint.id, directory: this._context.state.directory.revision })
       release()
-      return true
+      return undefined
     }
     this._checkStage(request, progress, () => this._estimates.decodeMs(request), release)
     charge.moveTo(this._context.clock.nowMs())
-    const run = this._context.crashes.track(request, reservation.endpoint)
-    const response = await this._openDecode(request, progress, reservation, run)
-    if (response === undefined) return true
-    return await this._relayStream(request, progress, run, response)
+    return await this._decode(request, progress, reserved)
   }
 
   /**
@@ -350,121 +350,137 @@
     return result === undefined ? undefined : { endpoint, address: endpoint.address, handle: result.handle, prefilledMs: this._context.clock.nowMs() }
   }
 
-  private async _openDecode (
-    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, run: TrackedRun
-  ): Promise<StreamedResponse | undefined> {
-    const { calls, dialect, log, clock, crashes } = this._context
+  /** Runs a request at its reserved engine. Resolves to the run, or to one that replaces it, once the engine responds. */
+  private async _decode (request: GatewayRequest, progress: PromptProgress, reserved: ReservedRun): Promise<StreamRun | undefined> {
+    const { log, clock, directPrefills } = this._context
+    const { reservation } = reserved
     const { endpoint } = reservation
     const { prompt } = progress
+    progress.prompt = undefined
+    const run = this._context.crashes.track(request, endpoint)
     const resumption = progress.relay.lastEventId === undefined ? {} : { lastEventId: progress.relay.lastEventId }
     const metadata = { reservationId: reservation.id, ...resumption, ...(prompt === undefined ? {} : { kvSource: prompt }) }
     const directPrefillMs = prompt === undefined ? this._expectedPrefillMs(request) : 0
-    const limit = new TimeLimit(request.signal, isIdempotent(request.route) ? STREAM_IDLE_TIMEOUT_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs : this._remainingMs(request))
     const directPrefill = new AbortController()
-    const queuedTokens = this._context.directPrefills.at(endpoint.id).tokens
-    if (prompt === undefined) this._context.directPrefills.add(endpoint.id, promptTokensOf(request), directPrefill.signal)
+    const queuedTokens = directPrefills.at(endpoint.id).tokens
+    if (prompt === undefined) directPrefills.add(endpoint.id, promptTokensOf(request), directPrefill.signal)
     const startMs = clock.nowMs()
-    const finish = (verdict: ResponseVerdict, reason?: string): void => {
-      limit.cancelTimeout()
-      directPrefill.abort()
+    const logDecode = (verdict: ResponseVerdict | RunEnd, reason?: string): void => {
       const readAt = prompt?.endpoint.id ?? endpoint.id
-      if (verdict === ResponseVerdict.Success) this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms: clock.nowMs() - startMs, direct: prompt === undefined, queuedTokens })
       log.request(request.id, 'decode', { endpoint: endpoint.id, readAt, verdict, reason, afterEvent: progress.relay.lastEventId, ms: Math.round(clock.nowMs() - startMs) })
     }
+    const silence = {
+      target: endpoint.id,
+      silenceMs: isIdempotent(request.route) ? STREAM_SILENCE_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs : undefined,
+      onSilent: () => this._fellSilent(progress, run, CallOutcome.Unreachable),
+      onContinued: () => this._recordOutcome(endpoint, CallOutcome.Success)
+    }
     try {
-      const response = await calls.open(this._call(request, endpoint, metadata), limit.signal)
-      const verdict = classifyResponse(dialect, request.id, response.status, response.headers)
-      finish(verdict)
-      return await this._handleDecodeResponse(request, progress, reservation, response, verdict)
-    } catch (err) {
-      limit.dispose()
-      directPrefill.abort()
-      if (!(err instanceof ExchangeError)) {
-        this._reservations.release(request, reservation)
-        throw err
+      const { own, replacement } = await this._open(request, progress, this._call(request, endpoint, metadata), silence)
+      if (replacement !== undefined) {
+        logDecode(RunEnd.Replaced)
+        this._releaseCall(request, reservation, prompt)
+        return replacement
       }
-      const notRun = err.ran === RanState.No
-      finish(notRun ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
+      const { response, verdict } = own
+      if (verdict === ResponseVerdict.Success) this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms: clock.nowMs() - startMs, direct: prompt === undefined, queuedTokens })
+      logDecode(verdict)
+      if (verdict === ResponseVerdict.Success) return this._createRun(request, progress, reserved, run, response)
+      await this._decodeRefused(request, progress, reservation, own, prompt)
+    } catch (err) {
       this._reservations.release(request, reservation)
-      if (!request.signal.aborted) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
-      if (!notRun && !request.signal.aborted) crashes.brokeOff(run)
-      if (!notRun) {
-        progress.runs += 1
-        this._freePrompt(request, progress)
-      }
-      progress.avoidedIds.add(endpoint.id)
-      return undefined
+      if (!(err instanceof ExchangeError)) throw err
+      logDecode(err.ran === RanState.No ? ResponseVerdict.NotRun : ResponseVerdict.Unusable, err.message)
+      this._decodeFailed(request, progress, run, err, prompt)
+    } finally {
+      directPrefill.abort()
     }
+    progress.avoidedIds.add(endpoint.id)
+    return undefined
   }
 
-  private async _handleDecodeResponse (
-    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, response: StreamedResponse, verdict: ResponseVerdict
-  ): Promise<StreamedResponse | undefined> {
+  /** Handles a response of an engine other than a success. */
+  private async _decodeRefused (
+    request: GatewayRequest, progress: PromptProgress, reservation: Reservation, { response, verdict }: OpenedResponse, prompt: PrefilledPrompt | undefined
+  ): Promise<void> {
     const { endpoint } = reservation
     if (verdict === ResponseVerdict.NotRun) {
-      response.body.destroy()
       this._reservations.release(request, reservation)
       this._recordOutcome(endpoint, CallOutcome.Unreachable)
-      progress.avoidedIds.add(endpoint.id)
-      return undefined
-    }
-    progress.runs += 1
-    progress.prompt = undefined
-    if (verdict === ResponseVerdict.Success) {
-      this._recordOutcome(endpoint, CallOutcome.Success)
-      return response
+      this._keepPrompt(request, progress, prompt)
+    } else {
+      this._recordOutcome(endpoint, CallOutcome.Failure)
     }
-    this._recordOutcome(endpoint, CallOutcome.Failure)
+    if (verdict === ResponseVerdict.Failed) await this._keepFailure(progress, response)
     if (verdict === ResponseVerdict.Unusable) this._context.calls.closeConnections(endpoint)
-    progress.avoidedIds.add(endpoint.id)
-    if (verdict === ResponseVerdict.Failed && !progress.relay.started && progress.runs >= request.route.maxAttempts) await this._relayFailure(request, response)
     response.body.destroy()
-    return undefined
   }
 
-  private async _relayFailure (request: GatewayRequest, { status, headers, body }: StreamedResponse): Promise<void> {
-    const buffered = await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(() => undefined)
-    if (buffered !== undefined) sendResponse(request.res, { status, headers, body: buffered })
+  /** Handles a call to an engine that has got no response. */
+  private _decodeFailed (request: GatewayRequest, progress: PromptProgress, run: TrackedRun, err: ExchangeError, prompt: PrefilledPrompt | undefined): void {
+    const { endpoint } = run
+    const isOwnFailure = !request.signal.aborted
+    if (isOwnFailure) this._recordOutcome(endpoint, err.failure === ExchangeFailure.Broken ? CallOutcome.Failure : CallOutcome.Unreachable)
+    if (err.ran === RanState.No) {
+      this._keepPrompt(request, progress, prompt)
+      return
+    }
+    if (isOwnFailure) this._context.crashes.brokeOff(run)
+    if (prompt !== undefined) this._reservations.free(request, prompt)
+  }
+
+  private _releaseCall (request: GatewayRequest, reservation: Reservation, prompt: PrefilledPrompt | undefined): void {
+    this._reservations.release(request, reservation)
+    if (prompt !== undefined) this._reservations.free(request, prompt)
+  }
+
+  /** Keeps the prompt of a call that has not run for the next round. */
+  private _keepPrompt (request: GatewayRequest, progress: PromptProgress, prompt: PrefilledPrompt | undefined): void {
+    this._freePrompt(request, progress)
+    progress.prompt = prompt
   }
 
-  /** Relays the stream to the caller. Returns whether it must be resumed at another engine. */
-  private async _relayStream (request: GatewayRequest, progress: PromptProgress, run: TrackedRun, response: StreamedResponse): Promise<boolean> {
+  private _createRun (request: GatewayRequest, progress: PromptProgress, { reservation: { endpoint }, finished }: ReservedRun, run: TrackedRun, response: StreamedResponse): StreamRun {
     const { log, metrics, clock, crashes } = this._context
-    const { endpoint } = run
     const startMs = clock.nowMs()
-    const idleTimeoutMs = request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined
-    const onFirst = (): void => {
-      metrics.recordFirstEvent(this._elapsedMs(request))
-      log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
-    }
-    const end = await progress.relay.forward(response, idleTimeoutMs, { onFirst, onEvents: () => crashes.eventsArrived(run) })
-    log.request(request.id, 'stream ended', {
-      endpoint: endpoint.id,
-      end,
-      failure: progress.relay.failure,
-      abortReason: abortReasonOf(request),
-      bytes: progress.relay.bytes,
-      lastEvent: progress.relay.lastEventId,
-      route: request.route.name,
-      ms: this._elapsedMs(request),
-      config: request.version
+    this._recordOutcome(endpoint, CallOutcome.Success)
+    const created: StreamRun = progress.relay.createRun({
+      response,
+      target: endpoint.id,
+      silenceMs: STREAM_SILENCE_MS,
+      finished,
+      onFirst: () => {
+        metrics.recordFirstEvent(this._elapsedMs(request))
+        log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
+      },
+      onEvents: () => crashes.eventsArrived(run),
+      onSilent: () => this._fellSilent(progress, run, CallOutcome.Failure),
+      onContinued: () => this._recordOutcome(endpoint, CallOutcome.Success),
+      onEnd: (end, failure) => {
+        progress.busyIds.delete(endpoint.id)
+        this._logEnd(request, progress, { endpoint: endpoint.id }, end, failure)
+        if (end === RunEnd.Broken) {
+          this._recordOutcome(endpoint, CallOutcome.Failure)
+          crashes.brokeOff(run)
+          progress.avoidedIds.add(endpoint.id)
+        }
+        if (end !== RunEnd.Complete) return
+        metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
+        this._estimates.recordCompleted(request, progress.hintTokens, progress.relay.bytes, clock.nowMs() - startMs)
+        crashes.completed(run, created.endsWithConnection)
+      }
     })
-    if (end === RelayOutcome.Complete) {
-      metrics.recordResponse(request.route.kind, response.status, this._elapsedMs(request))
-      this._estimates.recordCompleted(request, progress.hintTokens, progress.relay.bytes, clock.nowMs() - startMs)
-      crashes.completed(run, progress.relay.endedWithConnection)
-    }
-    if (end === RelayOutcome.Broken) {
-      this._recordOutcome(endpoint, CallOutcome.Failure)
-      crashes.brokeOff(run)
-      progress.avoidedIds.add(endpoint.id)
-      return true
-    }
-    if (end === RelayOutcome.Aborted) abortResponse(request.res)
-    return false
+    return created
+  }
+
+  /** An engine that has crashed may be silent as well: then its connections are not closed, but it accepts no other one. */
+  private _fellSilent (progress: PromptProgress, run: TrackedRun, outcome: CallOutcome): void {
+    this._recordOutcome(run.endpoint, outcome)
+    this._context.crashes.brokeOff(run)
+    progress.avoidedIds.add(run.endpoint.id)
   }
 
-  private _finalError (request: GatewayRequest, { runs, relay }: PromptProgress): RequestError {
+  protected override _finalError (request: GatewayRequest, { runs, relay }: PromptProgress): RequestError {
     if (request.signal.aborted) return abortError(request, runs > 0 || relay.started)
     if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no engine returned a complete response', { ran: RanState.Unknown })
     return new RequestError(ErrorKind.Overloaded, 'no engine ran the request', { retryAfterMs: BUSY_RETRY_AFTER_MS })
@@ -478,8 +494,9 @@
     return (work.tokens + tokens) * DECODE_TOKEN_MS
   }
 
-  private _rankedEngines (request: GatewayRequest, role: EngineRole, { avoidedIds }: PromptProgress): readonly EndpointRecord[] {
-    const pool = this._pool(request, role)
+  /** Returns the engines that don't work on the request already, best first. */
+  private _rankedEngines (request: GatewayRequest, role: EngineRole, { avoidedIds, busyIds }: PromptProgress): readonly EndpointRecord[] {
+    const pool = this._pool(request, role).filter(({ id }) => !busyIds.has(id))
     const preferred = pool.filter(({ id }) => !avoidedIds.has(id))
     const tokens = role === EngineRole.Prefill ? promptTokensOf(request) : kvTokensOf(request)
     return this._rank(request, preferred.length > 0 ? preferred : pool, tokens)
--- a/packages/gateway/src/forwarding/JaymillPromptProgress.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptProgress.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord } from '@jaymill/core'
 import type { KvSource } from '../ports/JaymillWireDialect.js'
-import type { StreamRelay } from './JaymillStreamRelay.js'
+import type { RunProgress } from './JaymillRunProgress.js'
 
 /** KV cache of a prefilled prompt and the engine that holds it. */
 export interface PrefilledPrompt extends KvSource {
@@ -10,18 +10,15 @@
 }
 
 /** Progress of one generation request through the prefill and decode pools. */
-export interface PromptProgress {
-  readonly relay: StreamRelay
+export interface PromptProgress extends RunProgress {
   /** Caller's estimate of the output length, in tokens. */
   readonly hintTokens: number
-  /** Calls that may have run the request. */
-  runs: number
   /** Rounds of reservation, prefill and decode. */
   rounds: number
   /** Whether a prefill engine has prefilled the prompt; the first such call does not count as a retry. */
   prefilled: boolean
-  /** Prompt that no engine has fetched, since the one that should have did not run the request. */
+  /** Prompt that no engine has been asked to fetch, or that the one that was asked has not fetched. */
   prompt: PrefilledPrompt | undefined
-  /** Engines that returned no usable response to this request. */
+  /** Engines that returned no usable response to this request, or fell silent. */
   readonly avoidedIds: Set<string>
 }
--- a/packages/gateway/src/forwarding/JaymillRetryRefusal.ts
+++ b/packages/gateway/src/forwarding/JaymillRetryRefusal.ts
@@ -11,6 +11,5 @@
   /** Too many calls that did not run it. */
   Rounds = 'rounds',
   Budget = 'retry-budget',
-  OutOfReach = 'out-of-reach',
   Quarantined = 'quarantined'
 }
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,27 +1,29 @@
-import { CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
-import { abortError, abortReasonOf } from '../callers/JaymillAbortError.js'
-import { abortResponse } from '../callers/JaymillCallerResponse.js'
+import { CallOutcome, ErrorKind, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
+import { abortError } from '../callers/JaymillAbortError.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
-import { MAX_TRIED_ENDPOINTS, MIN_CALL_MS, PLAIN_STREAM_MS, STREAM_IDLE_TIMEOUT_MS } from './constants.js'
-import { Forwarder } from './JaymillForwarder.js'
-import { RelayOutcome, StreamRelay } from './JaymillStreamRelay.js'
+import { MAX_TRIED_ENDPOINTS, PLAIN_STREAM_MS, STREAM_SILENCE_MS } from './constants.js'
 import { RetriedCall } from './JaymillRetryRecord.js'
 import { RetryRefusal } from './JaymillRetryRefusal.js'
-import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
+import { ResponseVerdict } from './JaymillResponseVerdict.js'
+import { RunForwarder } from './JaymillRunForwarder.js'
+import type { RunProgress } from './JaymillRunProgress.js'
+import { StreamRelay } from './JaymillStreamRelay.js'
+import { RunEnd, type StreamRun } from './JaymillStreamRun.js'
 import type { TrackedRun } from './JaymillTrackedRun.js'
 
-interface StreamProgress {
-  readonly relay: StreamRelay
-  readonly tried: readonly string[]
-  readonly runs: number
-  /** Whether no endpoint tried so far could be reached. */
-  readonly unreachable: boolean
+interface StreamProgress extends RunProgress {
+  /** Endpoints that have been tried. */
+  readonly triedIds: string[]
+  /** Whether none of them could be reached. */
+  unreachable: boolean
+  /** Whether the request has been forwarded to another host. */
+  forwarded: boolean
 }
 
 /** Forwards streams of services whose endpoints are not engines of separate prefill and decode pools. */
-export class StreamForwarder extends Forwarder {
+export class StreamForwarder extends RunForwarder<StreamProgress> {
   /** {@inheritDoc Forwarder.durationMs} */
   durationMs (): number {
     return PLAIN_STREAM_MS
@@ -31,85 +33,90 @@
   async forward (request: GatewayRequest): Promise<void> {
     this._context.crashes.admit(request)
     this._countRequest(request)
-    const relay = new StreamRelay(request)
-    if (this._context.peers.shouldForward(request)) await this._context.peers.forwardStream(request, relay, 0)
-    else await this._tryNext(request, { relay, tried: [], runs: 0, unreachable: true })
+    await this._serve(request, { relay: new StreamRelay(request), runs: 0, failure: undefined, busyIds: new Set(), triedIds: [], unreachable: true, forwarded: false })
   }
 
-  private async _tryNext (request: GatewayRequest, progress: StreamProgress): Promise<void> {
-    const endpoint = this._mayTry(request, progress) ? await this._selectEndpoint(request, progress.tried) : undefined
-    if (endpoint === undefined) {
-      await this._finish(request, progress)
-      return
-    }
-    const finished = new AbortController()
-    this._trackLoad(endpoint, 0, finished.signal)
-    const { end, ran, failure } = await this._attempt(request, endpoint, progress).finally(() => finished.abort())
-    if (end === RelayOutcome.Aborted) abortResponse(request.res)
-    if (end !== RelayOutcome.Broken) return
-    await this._tryNext(request, { relay: progress.relay, tried: [...progress.tried, endpoint.id], runs: progress.runs + Number(ran), unreachable: progress.unreachable && failure === ExchangeFailure.Connect })
+  protected override async _begin (request: GatewayRequest, progress: StreamProgress): Promise<StreamRun | undefined> {
+    const { triedIds, runs, relay } = progress
+    const isRepeat = triedIds.length > 0 || progress.forwarded
+    if (progress.forwarded || this._context.peers.shouldForward(request, runs > 0 || relay.started)) return await this._forward(request, progress, isRepeat)
+    const endpoint = await this._selectEndpoint(request, triedIds)
+    if (endpoint !== undefined) return await this._attempt(request, progress, endpoint, isRepeat)
+    if (triedIds.length === 0 || !progress.unreachable || request.signal.aborted) throw this._finalError(request, progress)
+    return await this._forward(request, progress, false)
+  }
+
+  protected override _endpointRefusal (request: GatewayRequest, { triedIds }: StreamProgress): RetryRefusal | undefined {
+    if (triedIds.length >= MAX_TRIED_ENDPOINTS) return RetryRefusal.Rounds
+    if (this._context.crashes.isQuarantined(request)) return RetryRefusal.Quarantined
+    return this._hasRetry(request, RetriedCall.Stream) ? undefined : RetryRefusal.Budget
+  }
+
+  protected override _finalError (request: GatewayRequest, { triedIds, runs, relay }: StreamProgress): RequestError {
+    if (request.signal.aborted) return abortError(request, runs > 0 || relay.started)
+    if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no endpoint returned a complete response', { ran: RanState.Unknown })
+    return this._noEndpointError(request, triedIds)
+  }
+
+  protected override _releaseUnused (): void { /* Nothing is reserved. */ }
+
+  private async _forward (request: GatewayRequest, progress: StreamProgress, isRepeat: boolean): Promise<StreamRun | undefined> {
+    progress.forwarded = true
+    if (isRepeat && !this._spendRetry(request, RetriedCall.Forwarded)) throw this._finalError(request, progress)
+    return await this._beginAtPeer(request, progress)
   }
 
-  private async _attempt (request: GatewayRequest, endpoint: EndpointRecord, { relay }: StreamProgress): Promise<{ end: RelayOutcome, ran: boolean, failure?: ExchangeFailure }> {
-    const { calls, dialect, log, metrics, crashes } = this._context
+  private async _attempt (request: GatewayRequest, progress: StreamProgress, endpoint: EndpointRecord, isRepeat: boolean): Promise<StreamRun | undefined> {
+    const { log, metrics, crashes } = this._context
+    const { relay, triedIds } = progress
+    triedIds.push(endpoint.id)
+    if (isRepeat && !this._spendRetry(request, RetriedCall.Stream)) throw this._finalError(request, progress)
     const metadata = relay.lastEventId === undefined ? {} : { lastEventId: relay.lastEventId }
     const run = crashes.track(request, endpoint)
+    const finished = this._trackRun(endpoint, 0)
+    const silence = { target: endpoint.id, silenceMs: undefined, onSilent: () => {}, onContinued: () => {} }
     try {
-      const response = await calls.open(this._call(request, endpoint, metadata), request.signal)
-      const verdict = classifyResponse(dialect, request.id, response.status, response.headers)
+      const { own } = await this._open(request, progress, this._call(request, endpoint, metadata), silence)
+      if (own === undefined) return undefined
+      const { response, verdict } = own
       log.request(request.id, 'attempt ended', { endpoint: endpoint.id, verdict, status: response.status, ms: this._elapsedMs(request) })
       this._recordOutcome(endpoint, verdict === ResponseVerdict.Success ? CallOutcome.Success : CallOutcome.Failure)
-      if (verdict === ResponseVerdict.Success) return { end: await this._relayStream(request, relay, response, run), ran: true }
+      if (verdict === ResponseVerdict.Success) return this._createRun(request, progress, run, finished, response)
+      progress.unreachable = false
       response.body.destroy()
       if (verdict === ResponseVerdict.Unusable) this._context.calls.closeConnections(endpoint)
-      return { end: RelayOutcome.Broken, ran: verdict !== ResponseVerdict.NotRun }
     } catch (err) {
+      finished.abort()
       if (!(err instanceof ExchangeError)) throw err
+      progress.unreachable &&= err.failure === ExchangeFailure.Connect
       metrics.recordCall('stream', err.failure)
       if (!request.signal.aborted) this._recordOutcome(endpoint, CallOutcome.Unreachable)
       if (err.failure === ExchangeFailure.Broken) crashes.brokeOff(run)
-      return { end: RelayOutcome.Broken, ran: err.ran !== RanState.No, failure: err.failure }
     }
+    finished.abort()
+    return undefined
   }
 
-  private async _relayStream (request: GatewayRequest, relay: StreamRelay, response: StreamedResponse, run: TrackedRun): Promise<RelayOutcome> {
+  private _createRun (request: GatewayRequest, progress: StreamProgress, run: TrackedRun, finished: AbortController, response: StreamedResponse): StreamRun {
     const { metrics, crashes } = this._context
-    const end = await relay.forward(response, request.route.resumable ? STREAM_IDLE_TIMEOUT_MS : undefined, {
+    const { endpoint } = run
+    progress.unreachable = false
+    const created: StreamRun = progress.relay.createRun({
+      response,
+      target: endpoint.id,
+      silenceMs: STREAM_SILENCE_MS,
+      finished,
       onFirst: () => metrics.recordFirstEvent(this._elapsedMs(request)),
-      onEvents: () => crashes.eventsArrived(run)
+      onEvents: () => crashes.eventsArrived(run),
+      onSilent: () => crashes.brokeOff(run),
+      onContinued: () => {},
+      onEnd: (end, failure) => {
+        progress.busyIds.delete(endpoint.id)
+        this._logEnd(request, progress, { endpoint: endpoint.id }, end, failure)
+        if (end === RunEnd.Broken) crashes.brokeOff(run)
+        if (end === RunEnd.Complete) crashes.completed(run, created.endsWithConnection)
+      }
     })
-    if (end === RelayOutcome.Broken) crashes.brokeOff(run)
-    if (end === RelayOutcome.Complete) crashes.completed(run, relay.endedWithConnection)
-    this._context.log.request(request.id, 'stream ended', { endpoint: run.endpoint.id, end, failure: relay.failure, abortReason: abortReasonOf(request), bytes: relay.bytes, lastEvent: relay.lastEventId, ms: this._elapsedMs(request) })
-    return end
-  }
-
-  private _mayTry (request: GatewayRequest, progress: StreamProgress): boolean {
-    const refusal = this._retryRefusal(request, progress)
-    if (refusal !== undefined) this._context.log.request(request.id, 'not run again', { reason: refusal, runs: progress.runs, tried: progress.tried.length, ms: this._elapsedMs(request) })
-    return refusal === undefined
-  }
-
-  private _retryRefusal (request: GatewayRequest, { tried, runs, relay }: StreamProgress): RetryRefusal | undefined {
-    if (request.signal.aborted) return RetryRefusal.Aborted
-    if (this._remainingMs(request) < MIN_CALL_MS) return RetryRefusal.Deadline
-    if (!relay.acceptsRun || (runs > 0 && !isIdempotent(request.route))) return RetryRefusal.NotIdempotent
-    if (runs >= request.route.maxAttempts) return RetryRefusal.Attempts
-    if (tried.length >= MAX_TRIED_ENDPOINTS) return RetryRefusal.Rounds
-    if (tried.length === 0) return undefined
-    if (this._context.reachability.isOutOfReach(request.service.name)) return RetryRefusal.OutOfReach
-    if (this._context.crashes.isQuarantined(request)) return RetryRefusal.Quarantined
-    return this._spendRetry(request, RetriedCall.Stream) ? undefined : RetryRefusal.Budget
-  }
-
-  private async _finish (request: GatewayRequest, progress: StreamProgress): Promise<void> {
-    if (progress.tried.length === 0 || !progress.unreachable || request.signal.aborted) throw this._finalError(request, progress)
-    await this._context.peers.forwardStream(request, progress.relay, progress.runs)
-  }
-
-  private _finalError (request: GatewayRequest, { tried, runs, relay }: StreamProgress): RequestError {
-    if (request.signal.aborted) return abortError(request, runs > 0 || relay.started)
-    if (runs > 0) return new RequestError(ErrorKind.EndpointFailed, 'no endpoint returned a complete response', { ran: RanState.Unknown })
-    return this._noEndpointError(request, tried)
+    return created
   }
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -46,8 +46,8 @@
 /** Time added to this multiple of the expected time, in milliseconds. */
 export const PREFILL_TIMEOUT_MARGIN_MS = 600
 
-/** Idle time after which a resumable stream is resumed at another endpoint, in milliseconds. */
-export const STREAM_IDLE_TIMEOUT_MS = 1_500
+/** Time without data after which another endpoint is prepared to resume a resumable stream, in milliseconds. */
+export const STREAM_SILENCE_MS = 1_500
 
 /** Time that an engine needs to fetch a prefilled prompt before the engine that holds it drops it, in milliseconds. */
 export const KV_FETCH_MARGIN_MS = 100
@@ -124,8 +124,8 @@
 /** Time for which a host that could not take a forwarded request gets no more of the same service, in milliseconds. */
 export const PEER_PAUSE_MS = 1_000
 
-/** Idle time after which a stream that another host forwards is broken off, in milliseconds; that host resumes it once before. */
-export const PEER_STREAM_IDLE_TIMEOUT_MS = 3_000
+/** The same for a stream that another host forwards, in milliseconds; that host prepares another endpoint once before. */
+export const PEER_STREAM_SILENCE_MS = 3_000
 
 /** Time after a failed prefill for which prefills of the service hold back a retry, in milliseconds; a few latency targets. */
 export const PREFILL_CAUTION_MS = 5_000
--- a/packages/gateway/src/peers/JaymillPeerCalls.ts
+++ b/packages/gateway/src/peers/JaymillPeerCalls.ts
@@ -35,6 +35,8 @@
   readonly attempts: number
   /** Id of the event after which the stream continues. */
   readonly lastEventId?: string | undefined
+  /** Addresses of hosts that still work on the request. */
+  readonly excluded?: ReadonlySet<string>
 }
 
 /** Response of an endpoint, forwarded by another host. */
@@ -79,7 +81,7 @@
    * @throws ExchangeError when the request may have run and no response arrives.
    */
   async open (request: GatewayRequest, options: PeerCallOptions): Promise<PeerResponse | undefined> {
-    return this.enabled ? await this._tryNext(request, options, this._candidates(request.service.name)) : undefined
+    return this.enabled ? await this._tryNext(request, options, this._candidates(request.service.name, options.excluded)) : undefined
   }
 
   private async _tryNext (request: GatewayRequest, options: PeerCallOptions, peers: readonly string[]): Promise<PeerResponse | undefined> {
@@ -129,11 +131,11 @@
    * Orders the hosts at random, so that the requests of many hosts that are cut off spread over the others. Those that shut down come
    * last: they may be the only ones that reach the service.
    */
-  private _candidates (service: string): readonly string[] {
+  private _candidates (service: string, excluded: ReadonlySet<string> = new Set()): readonly string[] {
     const { peers, stoppingPeers, clock, random } = this._context
     const nowMs = clock.nowMs()
     return [...shuffled(peers(), random), ...shuffled(stoppingPeers(), random)]
-      .filter(peer => (this._pausedUntilMs.get(pauseKey(service, peer)) ?? nowMs) <= nowMs)
+      .filter(peer => !excluded.has(peer) && (this._pausedUntilMs.get(pauseKey(service, peer)) ?? nowMs) <= nowMs)
       .slice(0, MAX_TRIED_PEERS)
   }
 
