Let data be read before a run counts as silent after a pause of the host

Cause: a time limit that fires is evidence only if what has arrived is read first. A pause still began a needless second run for each stream.

Change: a run counts as silent one turn of the event loop after its timer. Unit test: red without it ('expected not to be called, but actually called 1 time').

--- a/packages/gateway/src/__tests__/unit/JaymillSilenceRace.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillSilenceRace.test.ts
@@ -12,7 +12,7 @@
 let caller: AbortController
 
 beforeEach(() => {
-  vi.useFakeTimers()
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] })
   ends = []
   signals = []
   caller = new AbortController()
@@ -34,6 +34,12 @@
   }, { events: new EventAssembler(), hasEvents: true, endsWithConnection: false })
 }
 
+/** Lets time pass, and then one turn of the event loop. */
+async function advance (ms: number): Promise<void> {
+  await vi.advanceTimersByTimeAsync(ms)
+  await new Promise(resolve => { setImmediate(resolve) })
+}
+
 /** A promise that a test settles. */
 class Step<T> {
   resolve: (value: T) => void = () => {}
@@ -63,7 +69,7 @@
 test('prepares no replacement when the run goes on in time', async () => {
   const own = new Step<string>()
   const result = race(own, [])
-  await vi.advanceTimersByTimeAsync(SILENCE_MS - 1)
+  await advance(SILENCE_MS - 1)
   own.resolve('step')
   expect(await result).toEqual({ own: 'step' })
   expect(signals).toHaveLength(0)
@@ -72,7 +78,7 @@
 test('returns the replacement when it comes first, and leaves its signal alone', async () => {
   const replacement = new Step<StreamRun | undefined>()
   const result = race(new Step(), [replacement])
-  await vi.advanceTimersByTimeAsync(SILENCE_MS)
+  await advance(SILENCE_MS)
   const run = createRun()
   replacement.resolve(run)
   expect(await result).toEqual({ replacement: run })
@@ -84,12 +90,12 @@
   const own = new Step<string>()
   const replacement = new Step<StreamRun | undefined>()
   const result = race(own, [replacement])
-  await vi.advanceTimersByTimeAsync(SILENCE_MS)
+  await advance(SILENCE_MS)
   own.resolve('step')
   expect(await result).toEqual({ own: 'step' })
   expect(signals.map(({ aborted }) => aborted)).toEqual([true])
   replacement.resolve(createRun())
-  await vi.advanceTimersByTimeAsync(0)
+  await advance(0)
   expect(ends).toEqual([RunEnd.Unneeded])
 })
 
@@ -97,9 +103,9 @@
   const own = new Step<string>()
   const replacement = new Step<StreamRun | undefined>()
   const result = race(own, [replacement])
-  await vi.advanceTimersByTimeAsync(SILENCE_MS)
+  await advance(SILENCE_MS)
   own.reject(new ExchangeError(ExchangeFailure.Broken, 'broken'))
-  await vi.advanceTimersByTimeAsync(0)
+  await advance(0)
   const run = createRun()
   replacement.resolve(run)
   expect(await result).toEqual({ replacement: run })
@@ -109,9 +115,9 @@
   const own = new Step<string>()
   const replacement = new Step<StreamRun | undefined>()
   const result = race(own, [replacement], { isUsable: () => false })
-  await vi.advanceTimersByTimeAsync(SILENCE_MS)
+  await advance(SILENCE_MS)
   own.resolve('refused')
-  await vi.advanceTimersByTimeAsync(0)
+  await advance(0)
   const run = createRun()
   replacement.resolve(run)
   expect(await result).toEqual({ replacement: run })
@@ -121,7 +127,7 @@
   const own = new Step<string>()
   const replacement = new Step<StreamRun | undefined>()
   const result = race(own, [replacement])
-  await vi.advanceTimersByTimeAsync(SILENCE_MS)
+  await advance(SILENCE_MS)
   own.reject(new ExchangeError(ExchangeFailure.Broken, 'broken'))
   replacement.resolve(undefined)
   await expect(result).rejects.toThrow('broken')
@@ -131,7 +137,9 @@
   const own = new Step<string>()
   const onSilent = vi.fn()
   const result = race(own, [], { onSilent })
-  await vi.advanceTimersByTimeAsync(SILENCE_MS * 3)
+  await advance(SILENCE_MS)
+  await advance(SILENCE_MS)
+  await advance(SILENCE_MS)
   expect(signals).toHaveLength(3)
   expect(onSilent).toHaveBeenCalledTimes(1)
   own.resolve('step')
@@ -141,9 +149,22 @@
 test('cancels the replacement when the request is aborted', async () => {
   const own = new Step<string>()
   const result = race(own, [new Step<StreamRun | undefined>()])
-  await vi.advanceTimersByTimeAsync(SILENCE_MS)
+  await advance(SILENCE_MS)
   caller.abort()
   expect(signals.map(({ aborted }) => aborted)).toEqual([true])
   own.resolve('step')
   await result
 })
+
+// Guards against runs that are taken for silent since timers run before sockets are read when a paused process goes on.
+test('does not take a run for silent whose step has arrived while the process stood still', async () => {
+  vi.useRealTimers()
+  const onSilent = vi.fn()
+  const own = new Step<string>()
+  setImmediate(() => own.resolve('step'))
+  const result = race(own, [], { silenceMs: 10, onSilent })
+  const endMs = performance.now() + 50
+  while (performance.now() < endMs) { /* The process does nothing else. */ }
+  expect(await result).toEqual({ own: 'step' })
+  expect(onSilent).not.toHaveBeenCalled()
+})
--- a/packages/gateway/src/forwarding/JaymillSilenceRace.ts
+++ b/packages/gateway/src/forwarding/JaymillSilenceRace.ts
@@ -49,9 +49,10 @@
   return await raceReplacement(own, options)
 }
 
+/** After this process was paused, timers are run before data that has arrived meanwhile is read, so one turn of the event loop is added. */
 async function settlesWithin (promise: Promise<unknown>, ms: number): Promise<boolean> {
   return await new Promise(resolve => {
-    const timer = setTimeout(() => resolve(false), ms)
+    const timer = setTimeout(() => setImmediate(() => resolve(false)), ms)
     const settle = (): void => {
       clearTimeout(timer)
       resolve(true)
