Answer and cancel requests that share a connection

Callers may send further requests on a connection before they have the response to the first. On real hosts (three requests at once, engine takes 300 ms): - in a planned stop, all three were passed on, one was answered, two lost their connection; - when the caller left, only the first run was cancelled, the others worked on and counted as running for ever; each later planned stop took its whole grace period (7.8 s instead of 3 s), with 'interrupted by the stop' for requests that nobody waited for; - a request behind a stream that had announced the end of its connection was run in vain.

Cause: each response in a stop got 'Connection: close', after which Node.js drops the responses that wait behind it; and only the response at the front is told that the connection has closed.

Now the connection ends after the response to the latest request, all requests of a connection end with it, and what follows an announced end is not passed on (RFC 9112, section 9.6).

--- /dev/null
+++ b/packages/gateway/src/callers/JaymillCallerConnection.ts
@@ -0,0 +1,65 @@
+import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+/**
+ * One connection of a caller, with its responses in progress in the order of their requests: a caller may send further requests
+ * before it has the response to the first (RFC 9112, section 9.3.2). Node.js tells only that response of the end of the connection.
+ */
+export class CallerConnection {
+  private readonly _responses = new Map<ServerResponse, Array<() => void>>()
+  private _ended = false
+
+  /**
+   * @param socket - Socket of the connection.
+   */
+  constructor (socket: Socket) {
+    socket.once('close', () => [...this._responses.keys()].forEach(res => this._remove(res)))
+  }
+
+  /** Whether a response has announced the end of the connection: requests that follow get none (RFC 9112, section 9.6). */
+  get ending (): boolean {
+    return this._ended || [...this._responses.keys()].some(res => res.headersSent && endsConnection(res))
+  }
+
+  /**
+   * Adds the response to the latest request.
+   *
+   * @param res - The response.
+   */
+  add (res: ServerResponse): void {
+    this._responses.set(res, [])
+    res.once('close', () => this._remove(res))
+  }
+
+  /**
+   * Adds a listener for the end of a response.
+   *
+   * @param res - A response in progress.
+   * @param listener - Called when it is complete or its connection has closed.
+   */
+  onEnd (res: ServerResponse, listener: () => void): void {
+    this._responses.get(res)?.push(listener)
+  }
+
+  /**
+   * Ends the connection after the response to the latest request, and not after earlier ones.
+   *
+   * @param latest - That response.
+   */
+  endAfter (latest: ServerResponse): void {
+    const waiting = [...this._responses.keys()].filter(res => !res.headersSent)
+    waiting.forEach(res => res.setHeader('Connection', 'keep-alive'))
+    latest.setHeader('Connection', 'close')
+  }
+
+  private _remove (res: ServerResponse): void {
+    const listeners = this._responses.get(res) ?? []
+    this._responses.delete(res)
+    this._ended ||= endsConnection(res)
+    listeners.forEach(listener => listener())
+  }
+}
+
+function endsConnection (res: ServerResponse): boolean {
+  return res.getHeader('Connection') === 'close'
+}
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -1,10 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { chooseTarget, ErrorKind, JaymillError, RequestError, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
 import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
 import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES } from './constants.js'
+import { CallerConnection } from './JaymillCallerConnection.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
@@ -19,6 +21,7 @@
 interface RunningRequest {
   readonly id: string
   readonly res: ServerResponse
+  readonly connection: CallerConnection
   /** Monotonic time at which its header was received, in milliseconds. */
   readonly arrivedMs: number
   /** Aborts the request with an `AbortReason`. */
@@ -40,6 +43,7 @@
   private readonly _server: Server
   private readonly _peerServer: Server
   private readonly _running = new Set<RunningRequest>()
+  private readonly _connections = new WeakMap<Socket, CallerConnection>()
 
   /**
    * @param context - Components of the host.
@@ -92,13 +96,19 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse, fromPeer: boolean): Promise<void> {
+    const connection = this._connectionOf(req)
+    if (connection.ending) {
+      req.resume()
+      return
+    }
     const arrivedMs = this._context.clock.nowMs()
     const metadata = this._context.dialect.requestMetadata(req.headers)
     const abort = new AbortController()
-    const running = { id: metadata.requestId ?? '', res, arrivedMs, abort }
+    const running = { id: metadata.requestId ?? '', res, connection, arrivedMs, abort }
     this._running.add(running)
-    res.once('close', () => { this._running.delete(running) })
-    if (this._context.plannedStop() !== undefined) res.setHeader('Connection', 'close')
+    connection.add(res)
+    connection.onEnd(res, () => { this._running.delete(running) })
+    if (this._context.plannedStop() !== undefined) connection.endAfter(res)
     try {
       checkHostHeader(req)
       const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
@@ -116,6 +126,12 @@
     }
   }
 
+  private _connectionOf ({ socket }: IncomingMessage): CallerConnection {
+    const known = this._connections.get(socket) ?? new CallerConnection(socket)
+    this._connections.set(socket, known)
+    return known
+  }
+
   private _route (req: IncomingMessage, fromPeer = false): RoutedRequest {
     const { config, table } = this._context.state
     if (config === undefined || table === undefined) {
@@ -140,10 +156,10 @@
   }
 
   /** Aborts a request when its caller disconnects or its time is over. Returns the monotonic time of the latter, in milliseconds. */
-  private _startTimeLimit ({ res, arrivedMs, abort }: RunningRequest, route: GatewayRoute, callerDeadlineMs: number | undefined): number {
+  private _startTimeLimit ({ res, connection, arrivedMs, abort }: RunningRequest, route: GatewayRoute, callerDeadlineMs: number | undefined): number {
     const ms = Math.min(route.timeoutMs, callerDeadlineMs ?? route.timeoutMs)
     const timer = setTimeout(() => abort.abort(AbortReason.Timeout), ms)
-    res.once('close', () => {
+    connection.onEnd(res, () => {
       clearTimeout(timer)
       if (!res.writableFinished) abort.abort(AbortReason.CallerGone)
     })
