Count no run for a host that nobody takes a request from

A silent engine that is the only one of its service put the service out of reach at once, and the attempt to forward the stream, which no host took, counted as a run: the stream got no other one later.

--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -113,7 +113,9 @@
   }
 
   private async _collect (request: GatewayRequest, runs: number, attempts: number): Promise<ForwardedResult> {
-    const { response, verdict } = await this.open(request, { attempts }, runs > 0)
+    const opened = await this.open(request, { attempts }, runs > 0)
+    if (opened === undefined) throw this.notTakenError(request, runs > 0)
+    const { response, verdict } = opened
     return { response: await this._buffer(request, response), failed: verdict === ResponseVerdict.Failed }
   }
 
@@ -127,18 +129,27 @@
    * @param request - The request.
    * @param options - What the other host may do.
    * @param mayHaveRun - Whether an endpoint may have run it.
-   * @returns The response of an endpoint.
+   * @returns The response of an endpoint; `undefined` when no host has taken the request, which then has not run there.
    * @throws RequestError when there is none; `ran` tells whether the request may have run.
    */
-  async open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse> {
-    if (request.fromPeer) throw mayHaveRun ? this._failed(request) : outOfReachError()
-    const opened = await this._context.calls.open(request, options).catch(err => {
+  async open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse | undefined> {
+    if (request.fromPeer) return undefined
+    return await this._context.calls.open(request, options).catch(err => {
       // The other host only knows whether the request has run there.
       throw this._failed(request, mayHaveRun ? undefined : err)
     })
-    if (opened !== undefined) return opened
-    if (request.signal.aborted) throw abortError(request, mayHaveRun)
-    throw mayHaveRun ? this._failed(request) : outOfReachError()
+  }
+
+  /**
+   * Creates the error of a request that no other host has taken.
+   *
+   * @param request - The request.
+   * @param mayHaveRun - Whether an endpoint may have run it.
+   * @returns The error.
+   */
+  notTakenError (request: GatewayRequest, mayHaveRun: boolean): Error {
+    if (!request.fromPeer && request.signal.aborted) return abortError(request, mayHaveRun)
+    return mayHaveRun ? this._failed(request) : outOfReachError()
   }
 
   private _failed (request: GatewayRequest, cause?: unknown): Error {
--- a/packages/gateway/src/forwarding/JaymillRunForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillRunForwarder.ts
@@ -8,6 +8,7 @@
 import { ExchangeError, type ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import { LinkedAbort } from '../endpoints/JaymillLinkedAbort.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
+import type { PeerResponse } from '../peers/JaymillPeerCalls.js'
 import { MIN_CALL_MS, PEER_STREAM_SILENCE_MS, RUN_OVERLAP_MS } from './constants.js'
 import { Forwarder } from './JaymillForwarder.js'
 import { classifyResponse, ResponseVerdict } from './JaymillResponseVerdict.js'
@@ -240,15 +241,20 @@
     const { peers, metrics } = this._context
     const { relay, runs, busyIds } = progress
     const attempts = peers.attemptsOf(request.route, runs)
-    const options = { attempts, lastEventId: relay.lastEventId, excluded: busyIds }
+    const mayHaveRun = runs > 0 || relay.started
     progress.runs += attempts
     progress.failure = undefined
-    const opened = await peers.open(request, options, runs > 0 || relay.started).catch(err => {
-      if (err instanceof RequestError && err.ran === RanState.Unknown && !request.signal.aborted) return undefined
-      if (err instanceof RequestError && err.ran === RanState.No && !request.signal.aborted) progress.runs -= attempts
-      throw err
-    })
-    if (opened === undefined) return undefined
+    let opened: PeerResponse | undefined
+    try {
+      opened = await peers.open(request, { attempts, lastEventId: relay.lastEventId, excluded: busyIds }, mayHaveRun)
+    } catch (err) {
+      if (!(err instanceof RequestError) || err.ran !== RanState.Unknown || request.signal.aborted) throw err
+      return undefined
+    }
+    if (opened === undefined) {
+      progress.runs -= attempts
+      throw peers.notTakenError(request, mayHaveRun)
+    }
     const { peer, response, verdict } = opened
     if (verdict === ResponseVerdict.Failed) {
       await this._keepFailure(request, progress, response)
