Limit what one late response tells about the time to the first event

Cause: the bound of the delay is its mean plus four mean deviations, so that one sample of 2.5 s after samples of 10 ms put it at 2.8 s, more than callers wait.

Change: a sample counts for at most twice the bound so far, so that one raises it to about 0.5 s and lasting slowness still does within a few samples. The time of a silence does not count for prefills at decode engines.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -45,6 +45,9 @@
 /** Mean deviations above the average that most delays do not exceed. */
 export const DELAY_DEVIATIONS = 4
 
+/** Largest sample of a delay, as a multiple of its bound. */
+export const DELAY_MAX_GROWTH = 2
+
 /** Time without samples in which the excess of the bound over its initial value decays to about a third (1/e), in milliseconds. */
 export const DELAY_MEMORY_MS = 1_000
 
--- a/packages/gateway/src/forwarding/JaymillPromptEstimates.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptEstimates.ts
@@ -8,7 +8,7 @@
 /** How the first event of a response came about. */
 export interface FirstEvent {
   readonly engineId: string
-  /** Time from the call of the decode engine to its response, in milliseconds. */
+  /** Time from the call of the decode engine to its response, in milliseconds; without the time for which it was silent. */
   readonly ms: number
   /** Whether the decode engine has prefilled the prompt itself. */
   readonly direct: boolean
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -376,7 +376,8 @@
       onContinued: () => this._continued(progress, endpoint)
     }
     const createRun = (response: StreamedResponse): StreamRun => {
-      this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms: clock.nowMs() - startMs, direct: prompt === undefined, queuedTokens })
+      const ms = Math.min(clock.nowMs() - startMs, STREAM_SILENCE_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs)
+      this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms, direct: prompt === undefined, queuedTokens })
       logDecode(ResponseVerdict.Success)
       directPrefill.abort()
       return this._createRun(request, progress, reserved, run, response)
