Let an idle engine show that prefills are no longer slow

Cause: no engine is reserved while the expected prefill time is above 700 ms, which is meant for queued prefills. Without any prefill nothing corrects the estimate, whose fit does not fade with time.

Change: while an engine has no other prefill, no more than 700 ms are expected.

--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -542,9 +542,20 @@
     return { prefillEngineMs: this._prefillEngineMs(request), decodeEngineMs, remainingMs }
   }
 
-  /** Returns the expected prefill time at the chosen location, in milliseconds. */
+  /**
+   * Returns the expected prefill time at the chosen location, in milliseconds. A long time at an engine that has no other prefill is
+   * an old measurement, and only a new one can correct it.
+   */
   private _expectedPrefillMs (request: GatewayRequest): number {
-    return this._prefillPlacement.expectedMs(this._placementOptions(request))
+    const ms = this._prefillPlacement.expectedMs(this._placementOptions(request))
+    return this._hasIdlePrefill(request) ? Math.min(ms, PREFILL_BACKLOG_MS) : ms
+  }
+
+  private _hasIdlePrefill (request: GatewayRequest): boolean {
+    const { load, directPrefills } = this._context
+    const prefillEngines = this._pool(request, EngineRole.Prefill)
+    if (prefillEngines.length > 0) return prefillEngines.some(({ id }) => load.at(id).tokens === 0)
+    return this._pool(request, EngineRole.Decode).some(({ id }) => directPrefills.at(id).tokens === 0)
   }
 
   private _expectedFirstEventMs (request: GatewayRequest): number {
