Don't take engines for out of reach that are silent for a while

Callers saw 503 'out-of-reach' for all requests of a service, and streams that had to be resumed were cut ('no complete response arrived and no endpoint is in reach'), because its decode engines, which were sound, had been silent for 1.2 s.

Cause: a reservation that is not answered within 300 ms counted as a lost path; three in a row, or as many as there are, put the service out of reach, and with it all its requests until a probe, 0.5 to 4 s apart, is answered.

Now such an engine is probed over a new connection, which only counts against the path if it can't be made, breaks off, or gives no response for 3 s.

--- a/packages/gateway/src/forwarding/JaymillEngineReservations.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineReservations.ts
@@ -91,7 +91,7 @@
       if (!(err instanceof ExchangeError)) throw err
       if (!request.signal.aborted) {
         this._onUnreachable(endpoint)
-        if (limit.signal.aborted) reachability.unreachable(endpoint, false)
+        if (limit.signal.aborted) reachability.silent(endpoint)
       }
       metrics.recordCall('reserve', err.failure)
       log.request(request.id, 'reservation', { endpoint: endpoint.id, outcome: err.failure, reason: err.message, ms: Math.round(clock.nowMs() - startMs) })
--- a/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
+++ b/packages/gateway/src/forwarding/JaymillReachabilityMonitor.ts
@@ -4,7 +4,7 @@
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { WireDialect } from '../ports/JaymillWireDialect.js'
-import { DOUBT_PROBES, PROBE_FIRST_MS, PROBE_MAX_MS, PROBE_RELAPSE_MS, PROBE_TIMEOUT_MS } from './constants.js'
+import { DOUBT_PROBES, PROBE_FIRST_MS, PROBE_MAX_MS, PROBE_RELAPSE_MS, PROBE_TIMEOUT_MS, SILENT_PROBE_TIMEOUT_MS } from './constants.js'
 
 /** Dependencies of the monitor. */
 export interface ReachabilityMonitorContext {
@@ -39,6 +39,8 @@
   private readonly _probes = new Map<string, ServiceProbes>()
   /** Services whose endpoints are probed to remove a doubt. */
   private readonly _doubted = new Set<string>()
+  /** Ids of endpoints that are probed because they were silent. */
+  private readonly _silentIds = new Set<string>()
   private readonly _lossListeners: Array<(service: string) => void> = []
 
   /**
@@ -86,6 +88,20 @@
     if (evidence === PathEvidence.Doubt) this._probeOthers(service, endpoints)
   }
 
+  /**
+   * Records that an endpoint has not responded in time. A sound one may fall silent for a while, but takes new connections: it only
+   * counts as out of reach when it does not, or is silent for long. Other failures of the probe are recorded like those of any call.
+   *
+   * @param endpoint - The endpoint.
+   */
+  silent (endpoint: EndpointRecord): void {
+    if (this._silentIds.has(endpoint.id)) return
+    this._silentIds.add(endpoint.id)
+    this._probeEndpoint(endpoint, SILENT_PROBE_TIMEOUT_MS)
+      .then(inTime => { if (!inTime) this.unreachable(endpoint, false) })
+      .finally(() => this._silentIds.delete(endpoint.id))
+  }
+
   private _lost (service: string, endpoints: readonly EndpointRecord[], lastId: string): void {
     const { state, calls, clock, log } = this._context
     const nowMs = clock.nowMs()
@@ -159,14 +175,21 @@
     this._probeEndpoint(endpoint).finally(() => this._scheduleProbe(service))
   }
 
-  /** Makes a call over a new connection. The listeners of the calls record what comes of it. */
-  private async _probeEndpoint (endpoint: EndpointRecord): Promise<void> {
+  /**
+   * Makes a call over a new connection. The listeners of the calls record its response or failure.
+   *
+   * @param endpoint - Endpoint to call.
+   * @param timeoutMs - Time limit, in milliseconds.
+   * @returns Whether the call ended within the time limit.
+   */
+  private async _probeEndpoint (endpoint: EndpointRecord, timeoutMs = PROBE_TIMEOUT_MS): Promise<boolean> {
     const { state, calls, dialect, signal } = this._context
-    const limit = new TimeLimit(signal, PROBE_TIMEOUT_MS)
+    const limit = new TimeLimit(signal, timeoutMs)
     const path = state.table?.service(endpoint.service)?.healthPath ?? '/'
-    const headers = [...dialect.callHeaders({ endpointId: endpoint.id, deadlineMs: PROBE_TIMEOUT_MS })]
+    const headers = [...dialect.callHeaders({ endpointId: endpoint.id, deadlineMs: timeoutMs })]
     await calls.open({ endpoint, method: 'GET', path, headers, body: null, ownConnection: true }, limit.signal)
       .then(({ body }) => { body.destroy() }, () => { /* Recorded as a failure. */ })
     limit.dispose()
+    return !limit.signal.aborted || signal.aborted
   }
 }
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -112,6 +112,9 @@
 /** Time limit of a probe, in milliseconds; a busy endpoint still responds to its health check. */
 export const PROBE_TIMEOUT_MS = 1_000
 
+/** Time limit of a probe of an endpoint that was silent, in milliseconds; a sound one may be silent for a second or so. */
+export const SILENT_PROBE_TIMEOUT_MS = 3_000
+
 /** Number of endpoints that are probed when the paths to their service are in doubt. */
 export const DOUBT_PROBES = 3
 
