Probe a silent engine instead of counting it as out of reach

Uses the probe over a new connection for engines that fall silent inside a run as for those that do not answer a reservation, in place of the rule for single engines.

--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -372,7 +372,7 @@
     const silence = {
       target: endpoint.id,
       silenceMs: isIdempotent(request.route) ? STREAM_SILENCE_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs : undefined,
-      onSilent: () => this._fellSilent(request, progress, run, CallOutcome.Unreachable),
+      onSilent: () => this._fellSilent(progress, run, CallOutcome.Unreachable),
       onContinued: () => this._continued(progress, endpoint)
     }
     const createRun = (response: StreamedResponse): StreamRun => {
@@ -460,7 +460,7 @@
         log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
       },
       onEvents: () => crashes.eventsArrived(run),
-      onSilent: () => this._fellSilent(request, progress, run, CallOutcome.Failure),
+      onSilent: () => this._fellSilent(progress, run, CallOutcome.Failure),
       onContinued: () => this._continued(progress, endpoint),
       onEnd: (end, failure) => {
         progress.busyIds.delete(endpoint.id)
@@ -483,12 +483,11 @@
    * An engine that has crashed, or that the host has lost its links to, may be silent as well: then its connections are not closed, but
    * it accepts no other one.
    */
-  private _fellSilent (request: GatewayRequest, progress: PromptProgress, run: TrackedRun, outcome: CallOutcome): void {
+  private _fellSilent (progress: PromptProgress, run: TrackedRun, outcome: CallOutcome): void {
     const { crashes, reachability } = this._context
     this._recordOutcome(run.endpoint, outcome)
     crashes.brokeOff(run)
-    // The only engine may just be silent; with others, reservations there tell.
-    if (this._pool(request, EngineRole.Decode).length > 1) reachability.unreachable(run.endpoint, false)
+    reachability.silent(run.endpoint)
     progress.avoidedIds.add(run.endpoint.id)
   }
 
