Send the responses in progress before refusing what can't be read

A caller that sent a part of the header of its next request while the first one was running got 408 in place of the first response, and its connection was closed: a request that is not idempotent and ran was reported as not run, and a stream was cut inside. Real host: 408 after about 1 s, the run is cancelled.

Cause: without a listener for 'clientError', Node.js takes any error of the parser, and the time limit for a header, for an error of the response in progress.

Change: the responses to requests that have been read are sent first; then what follows is refused as Node.js does it (400, 408, 413, 431), and the connection is closed.

Test: JaymillUnfinishedHeaders, red on ('HTTP/1.1 408 Request Timeout'), green now.

--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -13,6 +13,7 @@
 import { checkHostHeader } from './JaymillHostHeader.js'
 import { listenOn } from './JaymillListener.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
+import { refuseUnreadable } from './JaymillUnreadableRequest.js'
 
 /** Selects the forwarder for a request. */
 export type ForwarderSelector = (request: GatewayRequest) => Forwarder
@@ -54,6 +55,7 @@
     this._selectForwarder = selectForwarder
     const options = { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, requestTimeout: 0 }
     const serverFor = (fromPeer: boolean): Server => createServer(options, (req, res) => { this._serve(req, res, fromPeer).catch(err => this._drop(req, res, err)) })
+      .on('clientError', (err, socket) => this._connectionOf(socket as Socket).endUnreadable(responding => refuseUnreadable(err, socket, responding)))
     this._server = serverFor(false)
     this._peerServer = serverFor(true)
   }
@@ -96,7 +98,7 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse, fromPeer: boolean): Promise<void> {
-    const connection = this._connectionOf(req)
+    const connection = this._connectionOf(req.socket)
     if (connection.ending) {
       req.resume()
       return
@@ -126,7 +128,7 @@
     }
   }
 
-  private _connectionOf ({ socket }: IncomingMessage): CallerConnection {
+  private _connectionOf (socket: Socket): CallerConnection {
     const known = this._connections.get(socket) ?? new CallerConnection(socket)
     this._connections.set(socket, known)
     return known
