End waiting responses of pipelined requests with their connection

Cause: Node.js closes only the response that a connection is sending when the connection closes. The responses to pipelined requests behind it got no 'close', so the host took them for running for good: their calls to endpoints went on until their time limit, a stream that waited for its caller never ended, and a planned stop waited for them until its grace period was over.

Ruled out: a listener for the end of the request; Node.js ends a request that has been read when it is complete, not with its connection.

Change: the ingress closes the responses that wait when their connection closes.

--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -11,6 +11,7 @@
 import { checkHostHeader } from './JaymillHostHeader.js'
 import { listenOn } from './JaymillListener.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
+import { WaitingResponses } from './JaymillWaitingResponses.js'
 
 /** Selects the forwarder for a request. */
 export type ForwarderSelector = (request: GatewayRequest) => Forwarder
@@ -40,6 +41,7 @@
   private readonly _server: Server
   private readonly _peerServer: Server
   private readonly _running = new Set<RunningRequest>()
+  private readonly _waitingResponses = new WaitingResponses()
 
   /**
    * @param context - Components of the host.
@@ -97,6 +99,7 @@
     const abort = new AbortController()
     const running = { id: metadata.requestId ?? '', res, arrivedMs, abort }
     this._running.add(running)
+    this._waitingResponses.add(res)
     res.once('close', () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) res.setHeader('Connection', 'close')
     try {
