Give up callers that read nothing after the time of their request

Cause: the end of a request's time aborts its calls, but nothing ends a response that its caller does not read. A relay that waits for the caller to read goes on waiting; a response that has been handed over whole stays in memory. Both last as long as the caller keeps its connection: the request counts as running, and a stream as load of its endpoint. Found by reading, after the fuzzer's callers that never read (they leave after 0.8 to 1 s, so the fuzzer did not show it).

Ruled out: a time limit for the whole response; a caller that reads slowly is to get it.

Change: when the time of a request is over, its connection gets a time limit of 2 s without progress; the response is then broken off.

Test: a stream of 12 MB and pipelined responses of 0.9 MB each, never read: requests were running 4 s after their deadline before, none now. A caller that reads 11 MB with pauses gets all of it, before and now.

--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -4,7 +4,7 @@
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
 import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
-import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES } from './constants.js'
+import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
@@ -142,10 +142,13 @@
     return { ...routed, route: limitAttempts(routed.route, metadata) }
   }
 
-  /** Aborts a request when its caller disconnects or its time is over. Returns the monotonic time of the latter, in milliseconds. */
+  /** Aborts a request when its caller disconnects or its time is over; from then on a caller that reads nothing is given up. Returns the monotonic time of the latter, in milliseconds. */
   private _startTimeLimit ({ res, arrivedMs, abort }: RunningRequest, route: GatewayRoute, callerDeadlineMs: number | undefined): number {
     const ms = Math.min(route.timeoutMs, callerDeadlineMs ?? route.timeoutMs)
-    const timer = setTimeout(() => abort.abort(AbortReason.Timeout), ms)
+    const timer = setTimeout(() => {
+      abort.abort(AbortReason.Timeout)
+      res.setTimeout(STALLED_CALLER_MS, () => abortResponse(res))
+    }, ms)
     res.once('close', () => {
       clearTimeout(timer)
       if (!res.writableFinished) abort.abort(AbortReason.CallerGone)
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -33,3 +33,9 @@
  * region and for the caller to read the data.
  */
 export const RESET_DELAY_MS = 50
+
+/**
+ * Time after which a caller that reads nothing of a response is given up once the time of its request is over, in milliseconds; enough
+ * for several retransmissions.
+ */
+export const STALLED_CALLER_MS = 2_000
