--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -372,11 +372,12 @@
     const silence = {
       target: endpoint.id,
       silenceMs: isIdempotent(request.route) ? STREAM_SILENCE_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs : undefined,
-      onSilent: () => this._fellSilent(progress, run, CallOutcome.Unreachable),
+      onSilent: () => this._fellSilent(request, progress, run, CallOutcome.Unreachable),
       onContinued: () => this._continued(progress, endpoint)
     }
     const createRun = (response: StreamedResponse): StreamRun => {
-      this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms: clock.nowMs() - startMs, direct: prompt === undefined, queuedTokens })
+      const ms = Math.min(clock.nowMs() - startMs, STREAM_SILENCE_MS + PREFILL_TIMEOUT_FACTOR * directPrefillMs)
+      this._estimates.recordFirstEvent(request, { engineId: endpoint.id, ms, direct: prompt === undefined, queuedTokens })
       logDecode(ResponseVerdict.Success)
       directPrefill.abort()
       return this._createRun(request, progress, reserved, run, response)
@@ -459,7 +460,7 @@
         log.request(request.id, 'first event', { endpoint: endpoint.id, ms: this._elapsedMs(request) })
       },
       onEvents: () => crashes.eventsArrived(run),
-      onSilent: () => this._fellSilent(progress, run, CallOutcome.Failure),
+      onSilent: () => this._fellSilent(request, progress, run, CallOutcome.Failure),
       onContinued: () => this._continued(progress, endpoint),
       onEnd: (end, failure) => {
         progress.busyIds.delete(endpoint.id)
@@ -482,11 +483,12 @@
    * An engine that has crashed, or that the host has lost its links to, may be silent as well: then its connections are not closed, but
    * it accepts no other one.
    */
-  private _fellSilent (progress: PromptProgress, run: TrackedRun, outcome: CallOutcome): void {
+  private _fellSilent (request: GatewayRequest, progress: PromptProgress, run: TrackedRun, outcome: CallOutcome): void {
     const { crashes, reachability } = this._context
     this._recordOutcome(run.endpoint, outcome)
     crashes.brokeOff(run)
-    reachability.unreachable(run.endpoint, false)
+    // The only engine may just be silent; with others, reservations there tell.
+    if (this._pool(request, EngineRole.Decode).length > 1) reachability.unreachable(run.endpoint, false)
     progress.avoidedIds.add(run.endpoint.id)
   }
 
@@ -540,9 +542,20 @@
     return { prefillEngineMs: this._prefillEngineMs(request), decodeEngineMs, remainingMs }
   }
 
-  /** Returns the expected prefill time at the chosen location, in milliseconds. */
+  /**
+   * Returns the expected prefill time at the chosen location, in milliseconds. A long time at an engine that has no other prefill is
+   * an old measurement, and only a new one can correct it.
+   */
   private _expectedPrefillMs (request: GatewayRequest): number {
-    return this._prefillPlacement.expectedMs(this._placementOptions(request))
+    const ms = this._prefillPlacement.expectedMs(this._placementOptions(request))
+    return this._hasIdlePrefill(request) ? Math.min(ms, PREFILL_BACKLOG_MS) : ms
+  }
+
+  private _hasIdlePrefill (request: GatewayRequest): boolean {
+    const { load, directPrefills } = this._context
+    const prefillEngines = this._pool(request, EngineRole.Prefill)
+    if (prefillEngines.length > 0) return prefillEngines.some(({ id }) => load.at(id).tokens === 0)
+    return this._pool(request, EngineRole.Decode).some(({ id }) => directPrefills.at(id).tokens === 0)
   }
 
   private _expectedFirstEventMs (request: GatewayRequest): number {
