--- a/packages/gateway/src/callers/JaymillCallerConnection.ts
+++ b/packages/gateway/src/callers/JaymillCallerConnection.ts
@@ -16,7 +16,7 @@
     socket.once('close', () => [...this._responses.keys()].forEach(res => this._remove(res)))
   }
 
-  /** Whether a response has announced the end of the connection: requests that follow get none (RFC 9112, section 9.6). */
+  /** Whether the connection takes no further request: one can't be read, or a response has announced the end (RFC 9112, section 9.6). */
   get ending (): boolean {
     return this._ended || [...this._responses.keys()].some(res => res.headersSent && endsConnection(res))
   }
@@ -52,6 +52,24 @@
     latest.setHeader('Connection', 'close')
   }
 
+  /**
+   * Ends the connection because what follows on it can't be read. The responses to the requests that were read are sent before.
+   *
+   * @param refuse - Refuses what can't be read and closes the connection; told whether a response in progress prevents a refusal.
+   */
+  endUnreadable (refuse: (responding: boolean) => void): void {
+    if (this._ended && this._responses.size > 0) return
+    this._ended = true
+    const read = [...this._responses.keys()].filter(({ req }) => req.complete)
+    const remaining = new Set(read)
+    const check = (): void => { if (remaining.size === 0) refuse([...this._responses.keys()].some(res => res.headersSent)) }
+    read.forEach(res => this.onEnd(res, () => {
+      remaining.delete(res)
+      check()
+    }))
+    check()
+  }
+
   private _remove (res: ServerResponse): void {
     const listeners = this._responses.get(res) ?? []
     this._responses.delete(res)
