Types of client accounts and of a request's priority

The two new customers publish client accounts, each with keys, a priority and a quota, and public routes. These are the interfaces that the parts share: the configuration's accounts, a request's account and priority, the caller's key in the metadata of its request, and account and priority in the metadata of a call. Nothing sets or reads them yet, except that a request's priority is its route's. Type check passes; no behaviour changes.

--- a/packages/core/src/gateway/JaymillGatewayConfig.ts
+++ b/packages/core/src/gateway/JaymillGatewayConfig.ts
@@ -37,6 +37,36 @@
   readonly maxAttempts: number
   /** Whether another endpoint may resume a stream after its last event. */
   readonly resumable: boolean
+  /** Whether callers need no key even if the configuration has accounts. */
+  readonly isPublic?: boolean
+}
+
+/** Unit in which the quota of an account is counted. */
+export enum QuotaUnit {
+  Requests = 'requests',
+  /** Prompt tokens plus the maximum number of output tokens. */
+  Tokens = 'tokens'
+}
+
+/** Rate limit of a client account over all hosts together. */
+export interface AccountQuota {
+  readonly unit: QuotaUnit
+  /** Units per second; greater than 0. */
+  readonly ratePerS: number
+  /** Units that may be used at once in addition to the rate. */
+  readonly burst: number
+  /** Cost of a request that declares no tokens; only for `QuotaUnit.Tokens`. */
+  readonly plainTokens: number
+}
+
+/** A client account: the callers that share a name, keys and a quota. */
+export interface ClientAccount {
+  readonly name: string
+  readonly keys: readonly string[]
+  /** Replaces the priority of the routes for requests of the account; 0 is the most urgent. */
+  readonly priority?: number
+  /** Absent without a limit. */
+  readonly quota?: AccountQuota
 }
 
 /** Capabilities of the engines of a service. */
@@ -78,6 +108,8 @@
   readonly routes: readonly GatewayRoute[]
   readonly services: readonly GatewayService[]
   readonly limits: CallerLimits
+  /** Client accounts; when absent, requests need no key. */
+  readonly accounts?: readonly ClientAccount[]
 }
 
 /**
--- a/packages/gateway/src/callers/JaymillGatewayRequest.ts
+++ b/packages/gateway/src/callers/JaymillGatewayRequest.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { GatewayRoute, GatewayService, RunKeys } from '@jaymill/core'
+import type { ClientAccount, GatewayRoute, GatewayService, RunKeys } from '@jaymill/core'
 import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
 
 /** Why a request was aborted before its response was complete. */
@@ -18,6 +18,10 @@
   readonly route: GatewayRoute
   readonly service: GatewayService
   readonly metadata: RequestMetadata
+  /** Account of the caller; absent when the configuration has no accounts, and on public routes. */
+  readonly account?: ClientAccount
+  /** Rank of the request, that of its account or else of its route; 0 is the most urgent. */
+  readonly priority: number
   /** Keys by which crashes of endpoints are attributed to the request or to parts of its prompt. */
   readonly keys: RunKeys
   /** Version of the configuration that applies to the request. */
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -119,7 +119,7 @@
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
-      const request = { id, req, res, route, service, metadata, keys: runKeysOf(req, body, metadata), version, body, fromPeer, arrivedMs, deadlineMs, signal }
+      const request = { id, req, res, route, service, metadata, priority: route.priority, keys: runKeysOf(req, body, metadata), version, body, fromPeer, arrivedMs, deadlineMs, signal }
       const forwarder = this._selectForwarder(request)
       forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -19,6 +19,8 @@
   readonly deadlineMs?: number
   /** Id of the last event that the caller has received, when it resumes a stream. */
   readonly lastEventId?: string
+  /** Key by which the caller shows its account. It must not be logged, forwarded or reported. */
+  readonly accountKey?: string
   /** Present for generation requests. */
   readonly prompt?: PromptMetadata
 }
@@ -43,6 +45,10 @@
   readonly reservationId?: string
   /** Id of the event after which the stream continues. */
   readonly lastEventId?: string
+  /** Name of the caller's account. */
+  readonly account?: string
+  /** Rank of the request at the engine; 0 is the most urgent. */
+  readonly priority?: number
 }
 
 /** Load of an endpoint, as reported in a response. */
