Client accounts: keys decide the account of a request

The configurations of the new customers list client accounts with keys.

The decoder reads accounts and public routes; a malformed account is left out, and the rest of its configuration takes effect. A missing list means that no keys are needed; an empty one that no key is known, so that the removal of the last account does not open the routes. AccountTable finds accounts by key and by name through maps, and is rebuilt only for a new configuration.

Ingress refuses an unknown key with 401 before the body is read, after 503 without a configuration and 404 without a route. The account's name goes out with every call of the request to an endpoint; the headers that show or name an account are dropped from callers' requests as soon as there are accounts. Without accounts all headers go through as before.

Hosts name the account to each other and never send the key. A host whose configuration is newer than the sender's takes the request only if the account has lost no key since: the table keeps, per account, the version since which all its keys have stayed, and the versions that this host has had. Refusing every request of an older version was ruled out, since each change of a route would then refuse the requests of all accounts; sending a hash of the key too, since short keys can be guessed from it.

A request that waits is checked again before it runs, if another configuration has taken effect since it was routed: after its body, before prefill, decode, a plain call, and before it goes to another host. One that may have run goes on.

Tests: unit tests of the table and the decoder, and over sockets for unknown keys, spoofed accounts, public routes, kept connections, waiting requests, prefill, decode and resumed calls; all headers that hosts send are searched for keys.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -287,3 +287,6 @@
 
 /** Time for which a removed endpoint is remembered, in milliseconds; several times the age of a copy that the source is restored from. */
 export const REMOVED_ENDPOINT_MEMORY_MS = 120_000
+
+/** Versions of the configuration for which a host remembers that it had them in force; more than come while hosts differ. */
+export const MAX_ACCOUNT_VERSIONS = 32
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export * from './JaymillAccountTable.js'
 export * from './JaymillCapacityProbeLimiter.js'
 export * from './JaymillCrashQuarantine.js'
 export * from './JaymillCrashReport.js'
--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -1,13 +1,22 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { isCloseDelimited, JaymillError, mayHaveBody, toProblem } from '@jaymill/core'
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
+import type { FleetState } from '../fleet/JaymillFleetState.js'
+import type { WireDialect } from '../ports/JaymillWireDialect.js'
 import { RESET_DELAY_MS } from './constants.js'
 import { isForwardedHeader } from './JaymillForwardedRequest.js'
+import type { GatewayRequest } from './JaymillGatewayRequest.js'
 
 const HOP_BY_HOP_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 
+/** Components that decide which headers are forwarded. */
+interface HeaderContext {
+  readonly dialect: WireDialect
+  readonly state: FleetState
+}
+
 const HTTP_WITHOUT_CHUNKS = '1.0'
 
 /**
@@ -22,17 +31,17 @@
 }
 
 /**
- * Selects the headers of a caller's request that are forwarded to an endpoint.
+ * Selects the headers of a caller's request that are forwarded to an endpoint or to another host.
  *
- * @param rawHeaders - Alternating names and values.
- * @param isReserved - Returns whether only the router may set a header.
+ * @param request - The request.
+ * @param context - Tells which headers only the router may set, which ones show or name an account, and whether there are accounts now.
  * @returns Alternating names and values, without headers that frame the body; the HTTP client sets those.
  */
-export function forwardedHeaders (rawHeaders: readonly string[], isReserved: (name: string) => boolean): string[] {
+export function forwardedHeaders ({ req: { rawHeaders }, hasAccounts }: GatewayRequest, { dialect, state }: HeaderContext): string[] {
+  const dropsAccount = hasAccounts || state.accounts !== undefined
+  const isDropped = (name: string): boolean => isForwardedHeader(name) || dialect.isReserved(name) || (dropsAccount && dialect.isAccountHeader(name))
   const pairs = rawHeaders.flatMap((name, i) => i % 2 === 0 ? [[name, rawHeaders[i + 1] ?? ''] as const] : [])
-  return pairs
-    .filter(([name]) => isForwarded(name.toLowerCase()) && !isForwardedHeader(name.toLowerCase()) && !isReserved(name.toLowerCase()))
-    .flat()
+  return pairs.filter(([name]) => isForwarded(name.toLowerCase()) && !isDropped(name.toLowerCase())).flat()
 }
 
 function isForwarded (name: string): boolean {
--- a/packages/gateway/src/callers/JaymillForwardedRequest.ts
+++ b/packages/gateway/src/callers/JaymillForwardedRequest.ts
@@ -6,7 +6,9 @@
   /** Version of the configuration in force on the host that forwards the request. */
   Config = 'jaymill-config',
   /** Number of endpoints that may still run the request. */
-  Attempts = 'jaymill-attempts'
+  Attempts = 'jaymill-attempts',
+  /** Name of the caller's account, whose key the host that forwards the request has checked. */
+  Account = 'jaymill-account'
 }
 
 const FORWARDED_HEADERS: readonly string[] = Object.values(ForwardedHeader)
@@ -15,6 +17,8 @@
 export interface ForwardedMetadata {
   readonly configVersion: number
   readonly attempts: number
+  /** Name of the caller's account; absent when the request has none. */
+  readonly account?: string
 }
 
 /**
@@ -31,8 +35,9 @@
  * @param metadata - The metadata.
  * @returns Alternating names and values.
  */
-export function forwardedMetadataHeaders ({ configVersion, attempts }: ForwardedMetadata): readonly string[] {
-  return [ForwardedHeader.Config, String(configVersion), ForwardedHeader.Attempts, String(attempts)]
+export function forwardedMetadataHeaders ({ configVersion, attempts, account }: ForwardedMetadata): readonly string[] {
+  const accountHeader = account === undefined ? [] : [ForwardedHeader.Account, account]
+  return [ForwardedHeader.Config, String(configVersion), ForwardedHeader.Attempts, String(attempts), ...accountHeader]
 }
 
 /**
@@ -42,7 +47,12 @@
  * @returns The metadata; with missing or malformed numbers, no configuration is required and one endpoint may run the request.
  */
 export function readForwardedMetadata (headers: IncomingHttpHeaders): ForwardedMetadata {
-  return { configVersion: countOf(headers[ForwardedHeader.Config]) ?? 0, attempts: Math.max(1, countOf(headers[ForwardedHeader.Attempts]) ?? 1) }
+  const account = headers[ForwardedHeader.Account]
+  return {
+    configVersion: countOf(headers[ForwardedHeader.Config]) ?? 0,
+    attempts: Math.max(1, countOf(headers[ForwardedHeader.Attempts]) ?? 1),
+    ...(typeof account === 'string' ? { account } : {})
+  }
 }
 
 /**
--- a/packages/gateway/src/callers/JaymillGatewayRequest.ts
+++ b/packages/gateway/src/callers/JaymillGatewayRequest.ts
@@ -18,8 +18,10 @@
   readonly route: GatewayRoute
   readonly service: GatewayService
   readonly metadata: RequestMetadata
-  /** Account of the caller; absent when the configuration has no accounts, and on public routes. */
+  /** Account of the caller; absent when the configuration has no accounts, and on public routes without a known key. */
   readonly account?: ClientAccount
+  /** Whether the configuration that applies to the request has accounts. */
+  readonly hasAccounts: boolean
   /** Rank of the request, that of its account or else of its route; 0 is the most urgent. */
   readonly priority: number
   /** Keys by which crashes of endpoints are attributed to the request or to parts of its prompt. */
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -1,11 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { chooseTarget, ErrorKind, JaymillError, RequestError, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
+import { chooseTarget, ErrorKind, JaymillError, RequestError, type ClientAccount, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
 import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
+import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
 import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
+import { accountOfCaller, accountOfForwarded } from './JaymillCallerAccount.js'
 import { CallerConnection } from './JaymillCallerConnection.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
@@ -37,6 +39,11 @@
   readonly config: GatewayConfig
 }
 
+/** A routed request whose caller's key was checked. */
+interface AuthenticatedRequest extends RoutedRequest {
+  readonly account: ClientAccount | undefined
+}
+
 /** Listeners for callers and for requests that other hosts forward. Reads requests, matches them to routes and passes them to forwarders. */
 export class Ingress {
   private readonly _context: ForwardingContext
@@ -111,20 +118,40 @@
     connection.add(res)
     connection.onEnd(res, () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) connection.endAfter(res)
+    let account: ClientAccount | undefined
     try {
       checkHostHeader(req)
-      const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
+      const routed = fromPeer ? this._routeForwarded(req) : this._routeCaller(req, metadata)
+      const { route, service, version, config } = routed
+      account = routed.account
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
-      const request = { id, req, res, route, service, metadata, priority: route.priority, keys: runKeysOf(req, body, metadata), version, body, fromPeer, arrivedMs, deadlineMs, signal }
+      const request = {
+        id,
+        req,
+        res,
+        route,
+        service,
+        metadata,
+        ...(account === undefined ? {} : { account }),
+        hasAccounts: config.accounts !== undefined,
+        priority: account?.priority ?? route.priority,
+        keys: runKeysOf(req, body, metadata),
+        version,
+        body,
+        fromPeer,
+        arrivedMs,
+        deadlineMs,
+        signal
+      }
       const forwarder = this._selectForwarder(request)
-      forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
+      forwarder.checkBeforeRun(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
-      this._refuse(req, res, metadata.requestId, err, arrivedMs)
+      this._refuse(req, res, metadata.requestId, err, arrivedMs, account)
     }
   }
 
@@ -147,14 +174,19 @@
     return { route, service, version: config.version, config }
   }
 
+  private _routeCaller (req: IncomingMessage, { accountKey }: RequestMetadata): AuthenticatedRequest {
+    const routed = this._route(req)
+    return { ...routed, account: accountOfCaller(this._context.state, routed.route, accountKey) }
+  }
+
   /** A host with an older configuration takes no forwarded request: its caller may have seen the newer one in force. */
-  private _routeForwarded (req: IncomingMessage): RoutedRequest {
+  private _routeForwarded (req: IncomingMessage): AuthenticatedRequest {
     const metadata = readForwardedMetadata(req.headers)
     if (this._context.state.version < metadata.configVersion) {
       throw new RequestError(ErrorKind.NotReady, 'the configuration of this host is older', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     }
     const routed = this._route(req, true)
-    return { ...routed, route: limitAttempts(routed.route, metadata) }
+    return { ...routed, route: limitAttempts(routed.route, metadata), account: accountOfForwarded(this._context.state, routed.route, metadata) }
   }
 
   /**
@@ -174,13 +206,19 @@
     return arrivedMs + ms
   }
 
-  private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, err: unknown, arrivedMs: number): void {
+  private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, err: unknown, arrivedMs: number, account: ClientAccount | undefined): void {
     const failure = err instanceof JaymillError ? err : new RequestError(ErrorKind.Invariant, 'internal error', { cause: err })
     if (!(err instanceof JaymillError)) this._context.log.warn('request failed unexpectedly', { requestId: id, reason: String(err) })
     const ms = Math.round(this._context.clock.nowMs() - arrivedMs)
     this._context.metrics.recordRefusal(failure.kind)
     this._context.log.request(id ?? '', 'refused', {
-      status: failure.status, kind: failure.kind, reason: failure.message, retryAfterMs: failure.retryAfterMs, config: this._context.state.version, ms
+      status: failure.status,
+      kind: failure.kind,
+      reason: failure.message,
+      retryAfterMs: failure.retryAfterMs,
+      account: account?.name,
+      config: this._context.state.version,
+      ms
     })
     if (!req.complete) res.setHeader('Connection', 'close')
     sendProblem(res, id, failure)
--- a/packages/gateway/src/fleet/JaymillFleetState.ts
+++ b/packages/gateway/src/fleet/JaymillFleetState.ts
@@ -1,4 +1,4 @@
-import { Clock, EndpointDirectory, epochOf, revisionInEpoch, RouteTable, wasRestored, type DirectoryChange, type EndpointChange, type GatewayConfig } from '@jaymill/core'
+import { AccountTable, Clock, EndpointDirectory, epochOf, revisionInEpoch, RouteTable, wasRestored, type DirectoryChange, type EndpointChange, type GatewayConfig } from '@jaymill/core'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { FleetChanges, FleetSnapshot } from '../ports/JaymillFleetSource.js'
 import type { ChangeBatch } from '../peers/JaymillHostMessage.js'
@@ -60,6 +60,7 @@
   private _recentChanges: readonly AppliedBatch[] = []
   private _config: GatewayConfig | undefined
   private _table: RouteTable | undefined
+  private _accounts: AccountTable | undefined
 
   /**
    * @param clock - Clock.
@@ -80,6 +81,11 @@
     return this._table
   }
 
+  /** Client accounts of the active configuration; `undefined` when it has none, so that requests need no key. */
+  get accounts (): AccountTable | undefined {
+    return this._accounts
+  }
+
   /** Version of the active configuration; 0 before the first. */
   get version (): number {
     return this._config?.version ?? 0
@@ -236,7 +242,8 @@
     if (config.version <= before) return
     this._config = config
     this._table = new RouteTable(config)
-    this._log.stateChange('configuration in force', { version: config.version, before, routes: config.routes.length, origin })
+    this._accounts = config.accounts === undefined ? undefined : new AccountTable(config.version, config.accounts, this._accounts)
+    this._log.stateChange('configuration in force', { version: config.version, before, routes: config.routes.length, accounts: this._accounts?.size, origin })
     this._configListeners.forEach(listener => listener(config))
   }
 
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, type RetryCharge, sampleEndpoints, sampleSize } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
+import { checkAccount } from '../callers/JaymillCallerAccount.js'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
@@ -35,9 +36,10 @@
 
   protected _call (request: GatewayRequest, endpoint: EndpointRecord, metadata: Omit<CallMetadata, 'deadlineMs' | 'endpointId'>): EndpointCall {
     const { dialect } = this._context
-    const { req, body } = request
-    const headers = forwardedHeaders(req.rawHeaders, name => dialect.isReserved(name))
-    const callHeaders = dialect.callHeaders({ ...metadata, endpointId: endpoint.id, deadlineMs: this._remainingMs(request) })
+    const { req, body, account } = request
+    const headers = forwardedHeaders(request, this._context)
+    const accountMetadata = account === undefined ? {} : { account: account.name }
+    const callHeaders = dialect.callHeaders({ ...metadata, ...accountMetadata, endpointId: endpoint.id, deadlineMs: this._remainingMs(request) })
     return {
       endpoint,
       method: req.method ?? 'GET',
@@ -61,6 +63,18 @@
    */
   abstract durationMs (request: GatewayRequest): number
 
+  /**
+   * Refuses a request that must not run any more: its key was removed, or it may not end before this host stops. It must not have run.
+   *
+   * @param request - The request.
+   * @param durationMs - Returns the longest time that it usually still takes, in milliseconds; called only while the host stops.
+   * @throws RequestError when it is refused.
+   */
+  checkBeforeRun (request: GatewayRequest, durationMs: () => number): void {
+    checkAccount(this._context.state, request)
+    this._checkEndsBeforeStop(request, durationMs)
+  }
+
   /**
    * Refuses a request that may not end before this host stops. It must not have run. The estimate of its duration can be wrong,
    * so it is enough only while callers cannot know yet that the host stops; later the time limit of the request has to end
@@ -70,7 +84,7 @@
    * @param durationMs - Returns the longest time that it usually still takes, in milliseconds; called only while the host stops.
    * @throws RequestError when the host may stop before.
    */
-  checkEndsBeforeStop (request: GatewayRequest, durationMs: () => number): void {
+  private _checkEndsBeforeStop (request: GatewayRequest, durationMs: () => number): void {
     const { plannedStop, clock, log } = this._context
     const stop = plannedStop()
     if (stop === undefined) return
--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -73,7 +73,7 @@
     sendResponse(request.res, response)
     const ms = this._elapsedMs(request)
     metrics.recordResponse(request.route.kind, status, ms)
-    log.request(request.id, 'answered', { status, route: request.route.name, ms, config: request.version })
+    log.request(request.id, 'answered', { status, route: request.route.name, ms, account: request.account?.name, config: request.version })
   }
 
   /**
@@ -134,7 +134,7 @@
    */
   async open (request: GatewayRequest, options: PeerCallOptions, mayHaveRun: boolean): Promise<PeerResponse | undefined> {
     if (request.fromPeer) return undefined
-    return await this._context.calls.open(request, options).catch(err => {
+    return await this._context.calls.open(request, { ...options, mayHaveRun }).catch(err => {
       // The other host only knows whether the request has run there.
       throw this._failed(request, mayHaveRun ? undefined : err)
     })
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -2,6 +2,7 @@
   CallOutcome, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord
 } from '@jaymill/core'
 import { abortError } from '../callers/JaymillAbortError.js'
+import { checkAccount } from '../callers/JaymillCallerAccount.js'
 import { endedWithConnection, sendResponse } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../endpoints/constants.js'
@@ -53,6 +54,7 @@
       await this._finish(request, progress)
       return
     }
+    if (!mayHaveRun(progress)) checkAccount(this._context.state, request)
     const attempt = await this._attempt(request, endpoint, progress)
     if (attempt.verdict === ResponseVerdict.Success) await this._finish(request, { tried: [...progress.tried, attempt] })
     else await this._tryNext(request, { tried: [...progress.tried, attempt] })
@@ -118,9 +120,9 @@
       this._respond(request, usable.response)
       return
     }
-    const mayHaveRun = tried.some(({ verdict }) => verdict !== ResponseVerdict.NotRun)
-    if (request.signal.aborted) throw abortError(request, mayHaveRun)
-    if (mayHaveRun) throw new RequestError(ErrorKind.EndpointFailed, 'the endpoint gave no usable answer', { ran: RanState.Unknown })
+    const ran = mayHaveRun({ tried })
+    if (request.signal.aborted) throw abortError(request, ran)
+    if (ran) throw new RequestError(ErrorKind.EndpointFailed, 'the endpoint gave no usable answer', { ran: RanState.Unknown })
     if (tried.length > 0 && tried.every(({ failure }) => failure === ExchangeFailure.Connect)) {
       await this._context.peers.forwardPlain(request)
       return
@@ -132,6 +134,10 @@
     sendResponse(request.res, response)
     const ms = this._elapsedMs(request)
     this._context.metrics.recordResponse(request.route.kind, response.status, ms)
-    this._context.log.request(request.id, 'answered', { status: response.status, route: request.route.name, ms, config: request.version })
+    this._context.log.request(request.id, 'answered', { status: response.status, route: request.route.name, ms, account: request.account?.name, config: request.version })
   }
 }
+
+function mayHaveRun ({ tried }: Progress): boolean {
+  return tried.some(({ verdict }) => verdict !== ResponseVerdict.NotRun)
+}
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -255,7 +255,7 @@
     const mayHaveRun = runs > 0 || relay.started
     try {
       this._context.crashes.check(request, mayHaveRun)
-      if (!mayHaveRun) this.checkEndsBeforeStop(request, durationMs)
+      if (!mayHaveRun) this.checkBeforeRun(request, durationMs)
     } catch (err) {
       release()
       throw err
--- a/packages/gateway/src/forwarding/JaymillRunForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillRunForwarder.ts
@@ -311,6 +311,7 @@
       bytes: relay.bytes,
       lastEvent: relay.lastEventId,
       route: request.route.name,
+      account: request.account?.name,
       ms: this._elapsedMs(request),
       config: request.version
     })
--- a/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamForwarder.ts
@@ -1,5 +1,6 @@
 import { CallOutcome, ErrorKind, RanState, RequestError, type EndpointRecord } from '@jaymill/core'
 import { abortError } from '../callers/JaymillAbortError.js'
+import { checkAccount } from '../callers/JaymillCallerAccount.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
@@ -41,6 +42,7 @@
     if (forwarded || this._context.peers.shouldForward(request, runs > 0 || relay.started)) return await this._forward(request, progress)
     const mayTry = triedIds.length === 0 || this._retryRefusal(request, progress) === undefined
     const endpoint = mayTry ? await this._selectEndpoint(request, triedIds) : undefined
+    if (endpoint !== undefined && runs === 0 && !relay.started) checkAccount(this._context.state, request)
     if (endpoint !== undefined) return await this._attempt(request, progress, endpoint)
     if (!hasReachedNone(progress) || request.signal.aborted) throw this._finalError(request, progress)
     return await this._forward(request, progress)
--- a/packages/gateway/src/peers/JaymillPeerCalls.ts
+++ b/packages/gateway/src/peers/JaymillPeerCalls.ts
@@ -1,4 +1,5 @@
 import { ErrorKind, fromProblem, isIdempotent, RanState, RequestError, shuffled, type Clock, type EndpointRecord, type Random } from '@jaymill/core'
+import { checkAccount } from '../callers/JaymillCallerAccount.js'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import { forwardedMetadataHeaders } from '../callers/JaymillForwardedRequest.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -33,6 +34,8 @@
 export interface PeerCallOptions {
   /** Number of endpoints that may run the request. */
   readonly attempts: number
+  /** Whether an endpoint may have run it; its account is not checked again then. */
+  readonly mayHaveRun?: boolean
   /** Id of the event after which the stream continues. */
   readonly lastEventId?: string | undefined
   /** Addresses of hosts that still work on the request. */
@@ -91,8 +94,9 @@
   }
 
   private async _tryPeer (request: GatewayRequest, options: PeerCallOptions, peer: string): Promise<PeerResponse | undefined> {
-    const { clock, dialect } = this._context
+    const { clock, dialect, state } = this._context
     const startMs = clock.nowMs()
+    if (options.mayHaveRun !== true) checkAccount(state, request)
     try {
       const response = await this._calls.open(this._call(request, options, peer), request.signal)
       const verdict = classifyResponse(dialect, request.id, response.status, response.headers)
@@ -111,16 +115,16 @@
 
   private _call (request: GatewayRequest, { attempts, lastEventId }: PeerCallOptions, peer: string): EndpointCall {
     const { dialect, state, port } = this._context
-    const { req, body } = request
+    const { req, body, account } = request
     const resumption = lastEventId === undefined ? {} : { lastEventId }
     return {
       endpoint: recordOf(`${peer}:${port}`),
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: [
-        ...forwardedHeaders(req.rawHeaders, name => dialect.isReserved(name)),
+        ...forwardedHeaders(request, this._context),
         ...dialect.callHeaders({ deadlineMs: this._remainingMs(request), ...resumption }),
-        ...forwardedMetadataHeaders({ configVersion: state.version, attempts })
+        ...forwardedMetadataHeaders({ configVersion: state.version, attempts, ...(account === undefined ? {} : { account: account.name }) })
       ],
       body,
       ownConnection: !isIdempotent(request.route)
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -108,6 +108,14 @@
    */
   abstract isReserved (name: string): boolean
 
+  /**
+   * Checks whether a header shows or names a caller's account.
+   *
+   * @param name - Header name in lower case.
+   * @returns Whether a caller's value is dropped as soon as the configuration has accounts.
+   */
+  abstract isAccountHeader (name: string): boolean
+
   /**
    * Formats the headers of a call to an endpoint.
    *
