Responses of another protocol version or with an unknown status are malformed

Cause: the parser of undici accepts the versions 0.9 and 2.0 in a status line and every status of three digits, and reports no version. Such a response reached the caller as a whole one.

A whole 200 of "HTTP/2.0" and "HTTP/0.9" was passed on to plain requests and streams, from callers and from other hosts, and used as the result of a prefill; the statuses 600 and 999 were passed on to plain requests. 000 and 099 ended as a broken connection.

Change: the connection checks the begin of each response head (ResponseHeadCheck): version 1.0 or 1.1, status 100 to 599; interim heads too. undici publishes each request before it writes it, which announces the next response. It sits in @jaymill/http, so it holds for both programs. Weighed: a check of the status at the handlers (does not see the version), a parser of our own (docs/design/answers.md).

--- a/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillEndpointCalls.test.ts
@@ -117,6 +117,50 @@
   expect(await failureOf(endpoint, true)).toBe(ExchangeFailure.Malformed)
 })
 
+// Guards against: a response of another version of the protocol, or with a status that does not exist, counts as a response.
+test.each([
+  'HTTP/2.0 200 OK', 'HTTP/0.9 200 OK', 'HTTP/1.2 200 OK', 'HTTP/1.1 000 None', 'HTTP/1.1 099 Low', 'HTTP/1.1 600 High', 'HTTP/1.1 999 High',
+  'HTTP/1.1 2000 Long', '\r\nHTTP/2.0 200 OK', 'HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/2.0 200 OK', 'HTTP/2.0 103 Early Hints\r\n\r\nHTTP/1.1 200 OK'
+])('reports a response that begins with %j as malformed', async begin => {
+  const whole = `${begin}\r\nX-Request-Id: r-1\r\nContent-Length: 5\r\n\r\nwhole`
+  const atOnce = await serve(socket => socket.end(whole))
+  const inPieces = await serve(socket => { Array.from(whole).forEach((char, i) => setTimeout(() => socket.write(char), i)) })
+  expect(await failureOf(atOnce, true)).toBe(ExchangeFailure.Malformed)
+  expect(await failureOf(atOnce, false)).toBe(ExchangeFailure.Malformed)
+  expect(await failureOf(inPieces, true)).toBe(ExchangeFailure.Malformed)
+})
+
+test.each(['HTTP/1.0 200 OK', 'HTTP/1.1 599 Odd', '\r\n\r\nHTTP/1.1 200', 'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK'])('accepts a response that begins with %j', async begin => {
+  const whole = `${begin}\r\nX-Request-Id: r-1\r\nContent-Length: 5\r\n\r\nwhole`
+  const inPieces = await serve(socket => { Array.from(whole).forEach((char, i) => setTimeout(() => socket.write(char), i)) })
+  expect(await collect(await serve(socket => socket.end(whole)), true)).toBe('whole')
+  expect(await collect(inPieces, false)).toBe('whole')
+})
+
+test('checks each response on a kept connection, and no body that looks like a head', async () => {
+  const body = 'HTTP/2.0 999 Odd\r\n\r\n'
+  const responses = [`${HEAD}Content-Length: ${body.length}\r\n\r\n${body}`, `${HEAD}Content-Length: ${body.length}\r\n\r\n`, 'HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n']
+  const server = createServer(socket => {
+    socket.on('error', () => {})
+    socket.on('data', () => {
+      const response = responses.shift() ?? ''
+      socket.write(response)
+      if (response.endsWith('\r\n\r\n') && response.startsWith(HEAD) && responses.length === 1) setTimeout(() => socket.write(body), 20)
+    })
+  })
+  servers.push(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  const calls = new EndpointCalls()
+  const endpoint: EndpointRecord = { id: 'e-1', service: 's', address: `127.0.0.1:${port}`, zone: 'z', slots: 1, leaving: false, warmupMs: 0 }
+  const call = { endpoint, method: 'GET', path: '/', headers: [], body: null, ownConnection: false }
+  const collectNext = async (): Promise<string> => (await calls.collect(call, 1_000, new AbortController().signal)).body.toString()
+  expect(await collectNext()).toBe(body)
+  expect(await collectNext()).toBe(body)
+  await expect(collectNext()).rejects.toMatchObject({ failure: ExchangeFailure.Malformed, ran: 'unknown' })
+})
+
 test('reports that nothing was sent when no connection can be made', async () => {
   const endpoint = await serve(() => {})
   servers.splice(0).forEach(server => server.close())
--- a/packages/http/src/JaymillConnectionSocket.ts
+++ b/packages/http/src/JaymillConnectionSocket.ts
@@ -1,4 +1,6 @@
 import { Socket, type SocketConstructorOpts } from 'node:net'
+import { errors } from 'undici'
+import { ResponseHeadCheck } from './JaymillResponseHeadCheck.js'
 
 const NO_BYTES = Buffer.alloc(0)
 
@@ -16,18 +18,26 @@
  *
  * Either end is reported to a reader that has read all bytes and asks for more: undici's parser fails with an assertion, which ends
  * the process, when a connection ends while a body is paused.
+ *
+ * A response with a head that `ResponseHeadCheck` does not accept ends the connection with an `HTTPParserError`.
  */
 export class ConnectionSocket extends Socket {
   /** Reports the end that the peer has brought about. */
   private _reportEnd: (() => void) | undefined
   /** Whether the reader has read all bytes and asks for more. */
   private _wantsMore = false
+  private readonly _heads = new ResponseHeadCheck()
 
   constructor () {
     // The declaration leaves out the options of streams.
     super({ highWaterMark: BUFFER_BYTES } as SocketConstructorOpts)
   }
 
+  /** Announces that a request is about to be sent. */
+  expectResponse (): void {
+    this._heads.expectResponse()
+  }
+
   /**
    * Adds received bytes, or the end of the connection.
    *
@@ -36,6 +46,10 @@
    * @returns Whether more bytes may be added.
    */
   override push (chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk instanceof Buffer && !this._heads.accepts(chunk)) {
+      this.destroy(new errors.HTTPParserError('Response does not match the HTTP/1.1 protocol (Invalid version or status)'))
+      return false
+    }
     if (chunk !== null) return super.push(chunk, encoding)
     this._checkReset(err => {
       if (err === undefined) this._endAfterData(() => this._end())
--- a/packages/http/src/JaymillConnector.ts
+++ b/packages/http/src/JaymillConnector.ts
@@ -1,3 +1,4 @@
+import { subscribe } from 'node:diagnostics_channel'
 import type { Socket } from 'node:net'
 import { buildConnector, errors } from 'undici'
 import { ConnectionSocket, isReset } from './JaymillConnectionSocket.js'
@@ -8,11 +9,20 @@
 const HTTP_PORT = 80
 const HTTPS = 'https:'
 
+/** Channel on which undici publishes each request before it writes it to a connection. */
+const REQUEST_CHANNEL = 'undici:client:sendHeaders'
+
 /** Code of the error of a connection that the peer has reset. */
 const RESET_ERROR_CODE = 'ERR_CONNECTION_RESET'
 
+subscribe(REQUEST_CHANNEL, message => {
+  const { socket } = message as { readonly socket: unknown }
+  if (socket instanceof ConnectionSocket) socket.expectResponse()
+})
+
 /**
- * Creates a connector for clients of undici that report a response as broken when its connection is reset.
+ * Creates a connector for clients of undici that report a response as broken when its connection is reset, and as malformed when
+ * its version or status is not valid. The latter holds without TLS, and for clients that do not pipeline requests.
  *
  * @param timeoutMs - Time to open a connection, in milliseconds; with TLS it is counted in steps of 500 ms.
  * @param tls - Options of connections with TLS.
--- a/packages/http/src/__tests__/failure/JaymillConnectionSocket.test.ts
+++ b/packages/http/src/__tests__/failure/JaymillConnectionSocket.test.ts
@@ -83,3 +83,27 @@
   expect((await client.request({ method: 'GET', path: '/' })).statusCode).toBe(200)
   await client.destroy()
 })
+
+// Guards against: a body that arrives while the request is still being sent in pieces is taken for the head of a further response.
+test('a body that arrives during an upload is not checked as a head', async () => {
+  const server = createServer(socket => {
+    socket.on('error', () => {})
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/2.0')
+      setTimeout(() => socket.write(' 999'), 60)
+    })
+  })
+  servers.push(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = new Client(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, { connect: createConnector(CONNECT_TIMEOUT_MS) })
+  const upload = async function * (): AsyncGenerator<string> {
+    yield PIECE
+    await sleep(30)
+    yield PIECE
+  }
+  const { statusCode, body } = await client.request({ method: 'POST', path: '/', body: upload() as unknown as Buffer })
+  expect(statusCode).toBe(200)
+  expect(await body.text()).toBe('HTTP/2.0 999')
+  await client.destroy()
+})
