Choose plain endpoints by the load that they report while reports of hosts are late

Cause: in a large fleet the work of other hosts is known two seconds late, many times the duration of a plain request. Hosts that compared endpoints by it all chose the same one, also from a sample of two; the load header was decoded and not used.

Change: ReportedLoads keeps the load that each endpoint has reported last, LateReportForecast weighs it by its age against the reports of hosts, of whose differences a quarter is expected to last, and draws what remains unknown at random. A plain request is refused at once when each endpoint has reported, within the last 500 ms, more work than it can end before the caller's deadline. Log line 'endpoint chosen' with the inputs and their age.

--- a/packages/core/src/gateway/JaymillEndpointLoad.ts
+++ b/packages/core/src/gateway/JaymillEndpointLoad.ts
@@ -91,7 +91,15 @@
    * @returns Work of all hosts at the endpoint.
    */
   at (endpointId: string): OutstandingWork {
-    return plus(this._own.get(endpointId) ?? NO_WORK, this._othersTotals.get(endpointId) ?? NO_WORK)
+    return plus(this.ownAt(endpointId), this._othersTotals.get(endpointId) ?? NO_WORK)
+  }
+
+  /**
+   * @param endpointId - An endpoint.
+   * @returns Work of this host at the endpoint.
+   */
+  ownAt (endpointId: string): OutstandingWork {
+    return this._own.get(endpointId) ?? NO_WORK
   }
 
   private _change (endpointId: string, requests: number, tokens: number): void {
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -287,3 +287,16 @@
 
 /** Time for which a removed endpoint is remembered, in milliseconds; several times the age of a copy that the source is restored from. */
 export const REMOVED_ENDPOINT_MEMORY_MS = 120_000
+
+/** Largest number of requests in the reported load of an endpoint; larger ones are taken as this. */
+export const REPORTED_REQUESTS_MAX = 100_000
+
+/** Smallest and largest reported duration of work, relative to the usual one. */
+export const REPORTED_SLOWNESS_MIN = 0.1
+export const REPORTED_SLOWNESS_MAX = 10
+
+/** Time in which the load that an endpoint has reported loses two thirds of its meaning (1/e remains), in milliseconds; several requests. */
+export const REPORTED_LOAD_MEMORY_MS = 500
+
+/** Share of a difference between endpoints in the reports of hosts that is expected to last; the rest is chance. */
+export const REPORTED_WORK_SHARE = 0.25
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -2,7 +2,8 @@
 import { createServer } from 'node:http'
 import {
   AssignedRateShare, Clock, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange, type RateShare
+  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads, RouteKind, ServiceLatencyModel, type DirectoryChange,
+  type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
@@ -33,7 +34,7 @@
 import type { WorkState } from './peers/JaymillZoneRelay.js'
 import type { EngineControl } from './ports/JaymillEngineControl.js'
 import type { FleetSource } from './ports/JaymillFleetSource.js'
-import type { WireDialect } from './ports/JaymillWireDialect.js'
+import type { ResponseMetadata, WireDialect } from './ports/JaymillWireDialect.js'
 
 /** Adapters that a gateway runs with. */
 export interface GatewayAdapters {
@@ -142,7 +143,9 @@
     const { calls, dialect } = this._adapters
     calls.onResponse(({ endpoint, requestId, ownConnection }, { status, headers }) => {
       this._forwardingContext.reachability.responded(endpoint, ownConnection)
-      this._forwardingContext.admission.responded(endpoint, requestId, dialect.responseMetadata(status, headers))
+      const metadata = dialect.responseMetadata(status, headers)
+      this._forwardingContext.admission.responded(endpoint, requestId, metadata)
+      this._loadReported(endpoint, metadata)
     })
     calls.onFailure(({ endpoint }, failure) => {
       const connecting = failure === ExchangeFailure.Connect
@@ -216,6 +219,7 @@
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
       peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
+      reportedLoads: new ReportedLoads(),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget,
@@ -273,6 +277,12 @@
     this._forwardingContext.admission.forget(record)
     this._forwardingContext.reliability.forget(record.id)
     this._forwardingContext.latencyModel.forget(record.id)
+    this._forwardingContext.reportedLoads.forget(record.id)
+  }
+
+  private _loadReported ({ id }: EndpointRecord, { load: reported }: ResponseMetadata): void {
+    const { reportedLoads, load, clock } = this._forwardingContext
+    if (reported !== undefined) reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
   }
 
   private _watchMetrics (): void {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,5 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, type RetryCharge, sampleEndpoints, sampleSize } from '@jaymill/core'
+import {
+  CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, RequestError, sampleEndpoints, sampleSize,
+  type Candidate, type EndpointRanking, type EndpointRecord, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
+} from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -15,6 +18,7 @@
 export abstract class Forwarder {
   protected readonly _context: ForwardingContext
   protected readonly _ranking: EndpointRanking
+  private readonly _forecast: WorkForecast = new LateReportForecast()
 
   /**
    * @param context - Components of the host.
@@ -108,7 +112,7 @@
 
   private _takeEndpoint (request: GatewayRequest, triedIds: readonly string[]): EndpointRecord | undefined {
     const { admission } = this._context
-    const [endpoint] = this._rank(request, this._untried(request, triedIds).filter(record => admission.allows(record)), 0)
+    const [endpoint] = this._rankPlain(request, this._untried(request, triedIds).filter(record => admission.allows(record)))
     if (endpoint !== undefined) admission.sent(endpoint)
     return endpoint
   }
@@ -122,6 +126,65 @@
     return this._context.admission.untilAllowedMs(this._untried(request, triedIds))
   }
 
+  /**
+   * Ranks endpoints of a plain service, best first. While the work of other hosts is known late, endpoints that report their load
+   * are compared by the work that is to be expected there now.
+   */
+  private _rankPlain (request: GatewayRequest, records: readonly EndpointRecord[]): readonly EndpointRecord[] {
+    const { zone, random, loadAgeMs, clock, log } = this._context
+    const known = records.map(record => this._knownWork(record))
+    if (loadAgeMs() === 0 || known.every(({ seen }) => seen === undefined)) return this._rank(request, records, 0)
+    const nowMs = clock.nowMs()
+    const expected = this._forecast.expect(known, nowMs, random)
+    const candidates = this._candidates(records, 0).map((candidate, i) => {
+      const { requests, slowness } = expected[i] ?? { requests: candidate.work.requests, slowness: 1 }
+      return { ...candidate, expectedMs: slowness * this._expectedMs(candidate.record, { requests, tokens: 0 }, 0) }
+    })
+    const ranked = this._ranking.rank(candidates, zone, random)
+    const best = candidates.findIndex(({ record }) => record === ranked[0])
+    const seen = known[best]?.seen
+    log.request(request.id, 'endpoint chosen', {
+      endpoint: ranked[0]?.id,
+      of: records.length,
+      expectedMs: Math.round(candidates[best]?.expectedMs ?? 0),
+      expectedRequests: Math.round(expected[best]?.requests ?? 0),
+      own: known[best]?.own,
+      others: known[best]?.others,
+      othersAgeMs: loadAgeMs(),
+      seenOthers: seen?.others,
+      seenSlowness: seen?.slowness,
+      seenAgeMs: seen === undefined ? undefined : Math.round(nowMs - seen.atMs)
+    })
+    return ranked
+  }
+
+  protected _knownWork ({ id }: EndpointRecord): KnownWork {
+    const { load, reportedLoads } = this._context
+    const own = load.ownAt(id).requests
+    return { own, others: load.at(id).requests - own, seen: reportedLoads.at(id) }
+  }
+
+  /**
+   * Refuses a request at once when each endpoint of its plain service has lately reported more work than it can end before the caller's
+   * deadline.
+   *
+   * @param request - A request that no endpoint has got.
+   * @throws RequestError when no endpoint can answer it in time.
+   */
+  protected _checkAnswerable (request: GatewayRequest): void {
+    const { clock, log, latencyModel } = this._context
+    const nowMs = clock.nowMs()
+    const times = this._untried(request, []).map(record => {
+      const serviceMs = latencyModel.expectedMs({ group: record.service, endpointId: record.id }, 1, PLAIN_INITIAL_MS, nowMs)
+      return earliestAnswerMs(this._knownWork(record), record.slots, serviceMs, nowMs)
+    })
+    const earliestMs = times.length === 0 ? 0 : Math.min(...times)
+    const remainingMs = this._remainingMs(request)
+    if (earliestMs <= remainingMs) return
+    log.request(request.id, 'no endpoint can answer in time', { earliestMs: Math.round(earliestMs), remainingMs, endpoints: times.length })
+    throw new RequestError(ErrorKind.Overloaded, 'no endpoint can answer before the deadline', { retryAfterMs: Math.max(BUSY_RETRY_AFTER_MS, earliestMs - remainingMs) })
+  }
+
   /** Ranks endpoints, best first. While the work of other hosts is known late, only a random sample is compared. */
   protected _rank (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
     const { zone, random, reliability, clock } = this._context
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ServiceLatencyModel } from '@jaymill/core'
+import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ReportedLoads, ServiceLatencyModel } from '@jaymill/core'
 import type { PlannedStop } from '../callers/JaymillPlannedStop.js'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
@@ -25,6 +25,8 @@
   readonly load: EndpointLoad
   /** Prompt tokens that decode engines prefill themselves. */
   readonly directPrefills: EndpointLoad
+  /** Load that endpoints have reported in their responses to this host. */
+  readonly reportedLoads: ReportedLoads
   readonly reliability: EndpointReliability
   readonly latencyModel: ServiceLatencyModel
   readonly budget: FleetRetryBudget
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -43,8 +43,12 @@
   async forward (request: GatewayRequest): Promise<void> {
     this._context.crashes.admit(request)
     this._countRequest(request)
-    if (this._context.peers.shouldForward(request)) await this._context.peers.forwardPlain(request)
-    else await this._tryNext(request, { tried: [] })
+    if (this._context.peers.shouldForward(request)) {
+      await this._context.peers.forwardPlain(request)
+      return
+    }
+    this._checkAnswerable(request)
+    await this._tryNext(request, { tried: [] })
   }
 
   private async _tryNext (request: GatewayRequest, progress: Progress): Promise<void> {
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import type { EngineRole } from '@jaymill/core'
+import type { EngineRole, ReportedLoad } from '@jaymill/core'
 
 /** Size of a generation request, as declared by its caller. */
 export interface PromptMetadata {
@@ -51,15 +51,6 @@
   readonly priority?: number
 }
 
-/** Load of an endpoint, as reported in a response. */
-export interface ReportedLoad {
-  readonly running: number
-  readonly waiting: number
-  readonly slots: number
-  /** Current duration of work relative to the usual duration; 1 is normal. */
-  readonly slowness: number
-}
-
 /** Metadata from the head of an endpoint's response. */
 export interface ResponseMetadata {
   /** Id of the request that the response belongs to. */
