--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -287,3 +287,28 @@
 
 /** Time for which a removed endpoint is remembered, in milliseconds; several times the age of a copy that the source is restored from. */
 export const REMOVED_ENDPOINT_MEMORY_MS = 120_000
+
+/** Time over which the demand of an account is averaged, in milliseconds. */
+export const QUOTA_DEMAND_SMOOTH_MS = 500
+
+/** Time without a report after which a source no longer counts, in milliseconds; some lost digests. */
+export const QUOTA_SOURCE_TTL_MS = 4_500
+
+/** Time for which the counts of an account that is not used are remembered, in milliseconds. */
+export const QUOTA_MEMORY_MS = 60_000
+
+/** Time in which the levels of hosts that count for themselves converge to about a third (1/e), in milliseconds. */
+export const QUOTA_CONVERGENCE_MS = 5_000
+
+/** Age from which a host's own count of an account is reported as its level, in milliseconds. */
+export const QUOTA_LEVEL_AGE_MS = 2_000
+
+/** Least number of units that a quota's bucket holds, in milliseconds of its rate. */
+export const QUOTA_MIN_DEPTH_MS = 250
+
+/** Share of the rate, and of the bucket, from which an account is so close to its limit that its use is reported often. */
+export const QUOTA_BUSY_SHARE = 0.7
+export const QUOTA_BUSY_LEVEL = 0.5
+
+/** Share of the rate below which the demand for an account counts as none. */
+export const QUOTA_IDLE_SHARE = 0.001
