Hosts report their use of quotas and refuse what is over them

Cause: AccountQuotas needs the reports of other hosts, through relays in a large fleet, and a place where requests are refused.

Change: host messages carry the use of up to 16 accounts behind the rate limits, where hosts of earlier releases ignore it. A relay sends the sums of its zone to the other relays each second and those of the fleet to its hosts every two, in datagrams of their own; each half second while an account is close to its limit, and at once when it gets there. Without accounts with a quota no further datagram is sent. QuotaGate refuses with 429 and Retry-After before the body is read and gives units back when the request has certainly not run; a request of another host is not counted again.

Settings quotaWindowSeconds and quotaOverage, from the platform's bounds. The slack for late reports needs no setting: no decision uses it.

Tests: 3 and 20 hosts over sockets, uneven choice of hosts, an account far over its limit for six seconds: within 0.75 and 1.25 of the quota, nothing refused before. Tests of packages/gateway, packages/settings and the settings template pass.

--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  AssignedRateShare, Clock, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
+  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
   PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
@@ -10,6 +10,7 @@
 import { Ingress } from './callers/JaymillIngress.js'
 import { listenOn } from './callers/JaymillListener.js'
 import type { PlannedStop } from './callers/JaymillPlannedStop.js'
+import { QuotaGate } from './callers/JaymillQuotaGate.js'
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { ExchangeFailure } from './endpoints/JaymillExchangeError.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
@@ -70,6 +71,7 @@
   private readonly _state: FleetState
   private readonly _follower: FleetFollower
   private readonly _heartbeats: HostHeartbeats
+  private readonly _quotas: AccountQuotas
   private readonly _forwardingContext: ForwardingContext
   private readonly _ingress: Ingress
   private readonly _roleController: RoleController
@@ -90,6 +92,9 @@
     const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
     const quarantine = new CrashQuarantine()
     const limits = new EndpointRateLimits()
+    const { quotaWindowSeconds, quotaOverage } = settings.bounds
+    const quotas = new AccountQuotas(new CountedQuotaShare(quotaOverage), quotaWindowSeconds * MS_PER_SECOND)
+    this._quotas = quotas
     this._state = new FleetState(clock, log)
     const { host: { id, zone, address }, listen, bounds } = settings
     const timing = sourceTiming(bounds.configurationMs)
@@ -109,6 +114,7 @@
       onEvidence: () => this._forwardingContext.crashes.evidenceChanged(),
       limits,
       onLimits: news => this._forwardingContext.admission.reported(news),
+      quotas,
       connected,
       clock,
       log
@@ -125,7 +131,10 @@
     const signal = this._abort.signal
     setMaxListeners(MAX_ABORT_LISTENERS, signal)
     log.stateChange('started', { zone: host.zone, address: host.address, pid: process.pid })
-    this._state.onConfig(config => this._ingress.applyLimits(config), signal)
+    this._state.onConfig(config => {
+      this._ingress.applyLimits(config)
+      this._quotas.configure(config.accounts ?? [], clock.nowMs())
+    }, signal)
     this._state.onDirectory(change => this._directoryChanged(change), signal)
     this._state.onUpdate(origin => this._heartbeats.stateUpdated(origin), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('source follower failed', { reason: err.message }))
@@ -216,6 +225,7 @@
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
       peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
+      quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reliability: new EndpointReliability(),
       latencyModel: new ServiceLatencyModel(),
       budget,
@@ -282,7 +292,8 @@
       configVersion: () => this._state.version,
       hosts: () => this._heartbeats.livePeers.length + 1,
       quarantined: () => this._forwardingContext.crashes.quarantinedCount,
-      outOfReach: () => this._forwardingContext.reachability.lostCount
+      outOfReach: () => this._forwardingContext.reachability.lostCount,
+      accountsNearLimit: () => this._quotas.busyAccounts(this._adapters.clock.nowMs()).length
     })
   }
 
--- a/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
@@ -2,7 +2,10 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Writable } from 'node:stream'
 import { afterEach, expect, test, vi } from 'vitest'
-import { CrashQuarantine, Clock, EndpointLoad, EndpointRateLimits, PendingRoleChanges, PromptDemand, type EndpointRecord, type GatewayConfig } from '@jaymill/core'
+import {
+  AccountQuotas, Clock, CountedQuotaShare, CrashQuarantine, EndpointLoad, EndpointRateLimits, PendingRoleChanges, PromptDemand, QuotaUnit, SeededRandom,
+  type EndpointRecord, type GatewayConfig
+} from '@jaymill/core'
 import { FleetState, Origin } from '../../fleet/JaymillFleetState.js'
 import { GatewayLog } from '../../logging/JaymillGatewayLog.js'
 import { HostHeartbeats } from '../../peers/JaymillHostHeartbeats.js'
@@ -29,6 +32,7 @@
   readonly state: FleetState
   readonly heartbeats: HostHeartbeats
   readonly quarantine: CrashQuarantine
+  readonly quotas: AccountQuotas
   readonly abort: AbortController
 }
 
@@ -51,12 +55,13 @@
   const zone = ZONES[i % ZONES.length] ?? ''
   const abort = new AbortController()
   const quarantine = new CrashQuarantine()
+  const quotas = new AccountQuotas(new CountedQuotaShare(0.25), 8_000)
   const heartbeats = new HostHeartbeats({
-    address: addressOf(i), zone, listen: { address: addressOf(i), port: PORT }, seeds: [0, 1, 2].map(addressOf), state, work, quarantine, onEvidence: () => {}, limits: new EndpointRateLimits(), onLimits: () => {}, connected: () => connected, clock, log
+    address: addressOf(i), zone, listen: { address: addressOf(i), port: PORT }, seeds: [0, 1, 2].map(addressOf), state, work, quarantine, onEvidence: () => {}, limits: new EndpointRateLimits(), quotas, onLimits: () => {}, connected: () => connected, clock, log
   })
   state.onUpdate(origin => heartbeats.stateUpdated(origin), abort.signal)
   await heartbeats.start(abort.signal)
-  return { address: addressOf(i), zone, load: work.load, state, heartbeats, quarantine, abort }
+  return { address: addressOf(i), zone, load: work.load, state, heartbeats, quarantine, quotas, abort }
 }
 
 async function startFleet (hosts: number): Promise<void> {
@@ -140,3 +145,36 @@
   expect(await untilAll(knows, 5_000)).toBeLessThan(1_000)
   expect(fleet.every(({ quarantine }) => quarantine.quarantined({ request: 'r5', parts: ['shared', 'other'] }, now()) === undefined)).toBe(true)
 }, 30_000)
+
+// Guards against accounts that get their whole quota from each host, and against hosts that refuse requests below it.
+test.each([3, 20])('%i hosts admit what the quota of an account allows over all of them, whichever of them its callers choose', async hosts => {
+  await startFleet(hosts)
+  await untilAll(({ heartbeats }) => heartbeats.livePeers.length === hosts - 1, KNOWN_WITHIN_MS)
+  const quota = { unit: QuotaUnit.Requests, ratePerS: 200, burst: 100, plainTokens: 0 }
+  const now = (): number => performance.now()
+  fleet.forEach(({ quotas }) => quotas.configure([{ name: 'a', keys: [], quota }], now()))
+  const random = new SeededRandom(hosts)
+  const ask = (): boolean => {
+    const host = fleet[Math.floor(random.next() ** 2 * hosts)]
+    host?.heartbeats.scheduleSend()
+    return host?.quotas.take('a', 1, now()).admitted === true
+  }
+  const send = async (perTick: number, ms: number): Promise<readonly boolean[]> => {
+    const startMs = now()
+    const results: boolean[] = []
+    while (now() - startMs < ms) {
+      results.push(...Array.from({ length: perTick }, ask))
+      await sleep(20)
+    }
+    return results
+  }
+  const admitted = (results: readonly boolean[]): number => results.filter(Boolean).length
+  const calm = await send(2, 3_000)
+  expect(admitted(calm)).toBe(calm.length)
+  const startMs = now()
+  const hot = await send(20, 6_000)
+  const allowed = quota.burst + quota.ratePerS * (now() - startMs) / 1_000
+  expect(hot.length).toBeGreaterThan(2 * allowed)
+  expect(admitted(hot)).toBeLessThan(1.25 * allowed)
+  expect(admitted(hot)).toBeGreaterThan(0.75 * allowed)
+}, 30_000)
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { chooseTarget, ErrorKind, JaymillError, RequestError, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
+import { chooseTarget, ErrorKind, JaymillError, RequestError, type ClientAccount, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
@@ -12,6 +12,7 @@
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { checkHostHeader } from './JaymillHostHeader.js'
 import { listenOn } from './JaymillListener.js'
+import type { QuotaCharge } from './JaymillQuotaGate.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
 import { refuseUnreadable } from './JaymillUnreadableRequest.js'
 
@@ -35,6 +36,7 @@
   readonly service: GatewayService
   readonly version: number
   readonly config: GatewayConfig
+  readonly account?: ClientAccount
 }
 
 /** Listeners for callers and for requests that other hosts forward. Reads requests, matches them to routes and passes them to forwarders. */
@@ -111,9 +113,11 @@
     connection.add(res)
     connection.onEnd(res, () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) connection.endAfter(res)
+    let charge: QuotaCharge | undefined
     try {
       checkHostHeader(req)
-      const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
+      const { route, service, version, config, account } = fromPeer ? this._routeForwarded(req) : this._route(req)
+      if (!fromPeer) charge = this._context.quotaGate.enter(account, metadata)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
@@ -124,6 +128,7 @@
       forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
+      charge?.refused(err)
       this._refuse(req, res, metadata.requestId, err, arrivedMs)
     }
   }
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -1,5 +1,6 @@
 import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ServiceLatencyModel } from '@jaymill/core'
 import type { PlannedStop } from '../callers/JaymillPlannedStop.js'
+import type { QuotaGate } from '../callers/JaymillQuotaGate.js'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -34,6 +35,7 @@
   readonly admission: EndpointAdmission
   readonly reachability: ReachabilityMonitor
   readonly peers: PeerForwarder
+  readonly quotaGate: QuotaGate
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
   /** Planned stop of this host; `undefined` unless it is shutting down. */
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -15,6 +15,7 @@
   readonly hosts: () => number
   readonly quarantined: () => number
   readonly outOfReach: () => number
+  readonly accountsNearLimit: () => number
 }
 
 /** Metrics of one host. Labels are kinds and outcomes, never ids. */
@@ -25,6 +26,7 @@
   private readonly _calls: Counter
   private readonly _forwarded: Counter
   private readonly _retries: Counter
+  private readonly _quotaUnits: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
 
@@ -35,6 +37,7 @@
     this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
     this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
     this._retries = new Counter({ name: 'jaymill_retries_total', help: 'Retries charged to the budget, or refused by it.', labelNames: ['call', 'outcome'], registers })
+    this._quotaUnits = new Counter({ name: 'jaymill_quota_units_total', help: 'Units of quotas that callers asked for.', labelNames: ['outcome'], registers })
     this._latency = new Histogram({
       name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
     })
@@ -54,6 +57,7 @@
     this._gauge('jaymill_config_version', 'Version of the configuration in force.', gauges.configVersion)
     this._gauge('jaymill_hosts', 'Hosts heard lately, this one included.', gauges.hosts)
     this._gauge('jaymill_services_out_of_reach', 'Services whose endpoints this host can not reach.', gauges.outOfReach)
+    this._gauge('jaymill_accounts_near_limit', 'Client accounts that are close to their quota, or over it.', gauges.accountsNearLimit)
     this._gauge('jaymill_quarantined', 'Requests and parts of prompts that are refused because they crash endpoints.', gauges.quarantined)
   }
 
@@ -116,6 +120,16 @@
     this._retries.inc({ call, outcome: charged ? 'charged' : 'refused' })
   }
 
+  /**
+   * Records a request of an account with a quota.
+   *
+   * @param admitted - Whether the quota admitted it.
+   * @param units - Cost of the request.
+   */
+  recordQuotaUnits (admitted: boolean, units: number): void {
+    this._quotaUnits.inc({ outcome: admitted ? 'admitted' : 'refused' }, units)
+  }
+
   /**
    * Serves the metrics in the text format of Prometheus.
    *
--- a/packages/gateway/src/peers/JaymillHostHeartbeats.ts
+++ b/packages/gateway/src/peers/JaymillHostHeartbeats.ts
@@ -1,21 +1,23 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { once } from 'node:events'
 import {
-  HostHeartbeatRateLimiter, RELAY_TIMEOUT_MS, type Clock, type CrashQuarantine, type EndpointRateLimits, type ReportedRateLimit, type SourceReader
+  HostHeartbeatRateLimiter, QuotaScope, RELAY_TIMEOUT_MS, type AccountQuotas, type Clock, type CrashQuarantine, type EndpointRateLimits,
+  type ReportedRateLimit, type SourceReader
 } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import { Origin, type FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import {
-  BATCHES_MAX_BYTES, FLEET_DIGEST_INTERVAL_MS, HOST_HEARTBEAT_CHECK_MS, HOSTS_PER_HEARTBEAT, MAX_DIGEST_LIMITS,
+  BATCHES_MAX_BYTES, FLEET_DIGEST_INTERVAL_MS, FLEET_DIGEST_TIMEOUT_MS, HOST_HEARTBEAT_CHECK_MS, HOSTS_PER_HEARTBEAT, MAX_DIGEST_LIMITS,
   MAX_HOST_LIMITS, PEER_FORGET_MS, UPDATE_COALESCE_MS, ZONE_DIGEST_INTERVAL_MS
 } from './constants.js'
 import { CrashReportSchedule } from './JaymillCrashReportSchedule.js'
 import { decodeHostMessage, encodeHostMessage, WorkScope, type HostMessage, type ReportedWork, type ZoneHosts } from './JaymillHostMessage.js'
 import { HostTable, type HostEntry } from './JaymillHostTable.js'
 import { PeriodicTask } from './JaymillPeriodicTask.js'
-import { withoutOwn } from './JaymillReportedWork.js'
-import { applyWork, forgetWork, partKey, partKeys, ZoneRelay, type WorkState } from './JaymillZoneRelay.js'
+import { QuotaReportSchedule } from './JaymillQuotaReportSchedule.js'
+import { ReceivedMessages, type NewerStateListener } from './JaymillReceivedMessages.js'
+import { forgetWork, ZoneRelay, type WorkState } from './JaymillZoneRelay.js'
 
 /** State that heartbeats report and update, and further dependencies. */
 export interface HostHeartbeatsContext {
@@ -30,6 +32,7 @@
   /** Called when another host has reported crashes, or proofs, that were unknown. */
   readonly onEvidence: () => void
   readonly limits: EndpointRateLimits
+  readonly quotas: AccountQuotas
   /** Called with rate limits of endpoints that were unknown. */
   readonly onLimits: (news: readonly ReportedRateLimit[]) => void
   /** Whether this host follows the source and its last request succeeded. */
@@ -38,16 +41,9 @@
   readonly log: GatewayLog
 }
 
-/** Called when another host has a newer configuration or newer endpoints. */
-export type NewerStateListener = (hostAddress: string, message: HostMessage) => void
-
 const NO_WORK: ReportedWork = { scope: WorkScope.None, part: 0, parts: 1, load: [], directPrefills: [], demand: [], changing: [] }
 const LIVE_HOSTS: ReportedWork = { ...NO_WORK, scope: WorkScope.Hosts }
 
-/** Scopes of messages whose lists only name hosts that may exist. */
-const UNPROVEN_SCOPES = [WorkScope.None, WorkScope.Host]
-const FLEET = 'fleet'
-
 /**
  * Tells the other hosts the work and the state of this host in UDP datagrams, and receives theirs. In a small fleet each host
  * reports to every other one. In a large one it reports to the relays of its availability zone and gets digests of the work of
@@ -59,7 +55,8 @@
   private readonly _table: HostTable
   private readonly _relay: ZoneRelay
   private readonly _crashReports: CrashReportSchedule
-  private readonly _newerStateListeners: NewerStateListener[] = []
+  private readonly _received: ReceivedMessages
+  private readonly _quotaReports: QuotaReportSchedule
   private readonly _socket: Socket = createSocket('udp4')
   private readonly _rateLimiter = new HostHeartbeatRateLimiter()
   private readonly _zoneDigest = new PeriodicTask(ZONE_DIGEST_INTERVAL_MS)
@@ -70,7 +67,6 @@
   private _leaving = false
   private _closed = false
   private _sampleStart = 0
-  private _fleetParts = 0
   /** Work in the last report of this host, which the digests of its relays contain. */
   private _lastReported = NO_WORK
 
@@ -83,6 +79,16 @@
     this._context = context
     this._table = new HostTable(address)
     this._relay = new ZoneRelay(() => this._self(), this._table, work, clock)
+    this._quotaReports = new QuotaReportSchedule(context.quotas)
+    this._received = new ReceivedMessages({
+      ...context,
+      table: this._table,
+      relay: this._relay,
+      crashReports: this._crashReports,
+      lastReported: () => this._lastReported,
+      passOn: () => this._passOnSoon(),
+      reply: ip => this._reply(ip)
+    })
     seeds.filter(ip => ip !== address).forEach(ip => this._table.add(ip, clock.nowMs()))
   }
 
@@ -128,7 +134,7 @@
    * @param listener - Called when another host has a newer configuration or newer endpoints.
    */
   onNewerState (listener: NewerStateListener): void {
-    this._newerStateListeners.push(listener)
+    this._received.onNewerState(listener)
   }
 
   /**
@@ -206,10 +212,17 @@
     const nowMs = this._context.clock.nowMs()
     this._table.entries.forEach(entry => this._checkHost(entry, nowMs))
     this._relay.expire()
+    this._context.quotas.observeHosts(this._inTouch(nowMs), this._table.possiblyServing(nowMs) + 1, nowMs)
     if (this._rateLimiter.isDue(this._table.size, nowMs)) this._report(this._context.state.config === undefined)
     if (this.usesRelays && this._relay.reporters.length > 0) this._sendDigests(nowMs)
   }
 
+  /** Number of hosts whose use of quotas this host knows, itself included. */
+  private _inTouch (nowMs: number): number {
+    const isMember = this.usesRelays && this._relay.reporters.length === 0
+    return isMember && nowMs - this._received.fleetDigestMs > FLEET_DIGEST_TIMEOUT_MS ? 1 : this.livePeers.length + 1
+  }
+
   private _checkHost (entry: HostEntry, nowMs: number): void {
     const silentMs = nowMs - entry.lastSeenMs
     const reportTimeoutMs = this.usesRelays ? RELAY_TIMEOUT_MS : this._rateLimiter.peerTimeoutMs(this._table.size)
@@ -255,6 +268,14 @@
       this._relay.zoneWork().forEach(work => this._sendTo(this._relay.partners, this._message(work, work.part === 0 ? hosts : [], false)))
     }
     if (this._fleetDigest.isDue(nowMs)) this._sendFleetDigest(this._relay.reporters)
+    const scopes = this._quotaReports.due(nowMs)
+    if (scopes.includes(QuotaScope.Zone)) this._sendQuotas(QuotaScope.Zone, this._relay.partners)
+    if (scopes.includes(QuotaScope.Fleet)) this._sendQuotas(QuotaScope.Fleet, this._relay.reporters)
+  }
+
+  private _sendQuotas (scope: QuotaScope, receivers: readonly string[]): void {
+    const quotas = this._quotaReports.report(scope, this._context.clock.nowMs())
+    if (quotas !== undefined) this._sendTo(receivers, { ...this._message(NO_WORK, [], false), quotas })
   }
 
   private _sendFleetDigest (receivers: readonly string[]): void {
@@ -309,6 +330,7 @@
     const { address, zone, connected } = this._self()
     const nowMs = clock.nowMs()
     const crashes = this._crashReports.next(work.scope, toNewHost, nowMs)
+    const quotas = work.scope === WorkScope.Host ? this._quotaReports.report(QuotaScope.Host, nowMs) : undefined
     return {
       from: address,
       zone,
@@ -325,7 +347,8 @@
       hosts,
       work,
       ...(crashes === undefined ? {} : { crashes }),
-      limits: limits.report(work.scope === WorkScope.Host ? MAX_HOST_LIMITS : MAX_DIGEST_LIMITS, nowMs)
+      limits: limits.report(work.scope === WorkScope.Host ? MAX_HOST_LIMITS : MAX_DIGEST_LIMITS, nowMs),
+      ...(quotas === undefined ? {} : { quotas })
     }
   }
 
@@ -335,68 +358,7 @@
       this._context.log.warn('malformed heartbeat', { bytes: bytes.length })
       return
     }
-    if (message.from !== this._context.address) this._apply(message)
-  }
-
-  private _apply (message: HostMessage): void {
-    const { from, batches, config, revision, graceMs, fence, ask } = message
-    const nowMs = this._context.clock.nowMs()
-    const isKnown = this._table.has(from)
-    const wasLive = isKnown && this._table.add(from, nowMs).live
-    const entry = this._table.receive(message, nowMs)
-    if (entry === undefined) return
-    if (!wasLive) this._context.log.stateChange('host heard', { peer: from, config, revision })
-    this._context.work.roleChanges.observeFencingToken(fence)
-    this._context.state.applyBatches(batches, { config, revision, graceMs })
-    this._applyCrashes(message, nowMs)
-    this._applyLimits(message, nowMs)
-    this._applyHosts(message, nowMs)
-    this._applyWork(message, entry, nowMs)
-    if (ask || !isKnown) this._reply(from)
-    this._notifyIfNewer(message)
-  }
-
-  private _applyCrashes ({ crashes }: HostMessage, nowMs: number): void {
-    const { quarantine, onEvidence } = this._context
-    if (crashes === undefined || !quarantine.merge(crashes, nowMs)) return
-    this._crashReports.changed()
-    onEvidence()
-    this._passOnSoon()
-  }
-
-  /** A relay passes on what is new, since its hosts may send to the same endpoint. */
-  private _applyLimits ({ from, limits }: HostMessage, nowMs: number): void {
-    const news = this._context.limits.merge(from, limits, nowMs)
-    if (news.length === 0) return
-    this._context.onLimits(news)
-    this._passOnSoon()
-  }
-
-  private _applyHosts ({ hosts, work }: HostMessage, nowMs: number): void {
-    if (UNPROVEN_SCOPES.includes(work.scope)) hosts.forEach(({ addresses }) => addresses.filter(ip => ip !== this._context.address).forEach(ip => this._table.add(ip, nowMs)))
-    else this._table.applyLists(hosts, nowMs)
-  }
-
-  private _applyWork (message: HostMessage, entry: HostEntry, nowMs: number): void {
-    const { work } = message
-    if (work.scope === WorkScope.Host) {
-      const isFirst = this._relay.reporters.length === 0
-      entry.lastReportMs = nowMs
-      applyWork(this._context.work, entry.address, work)
-      if (isFirst) this._forgetFleet(0)
-    }
-    if (work.scope === WorkScope.Zone) this._relay.applyZoneDigest(message)
-    if (work.scope === WorkScope.Fleet && this._relay.reporters.length === 0) {
-      this._forgetFleet(work.parts)
-      this._fleetParts = work.parts
-      applyWork(this._context.work, partKey(FLEET, work.part), withoutOwn(work, this._lastReported))
-    }
-  }
-
-  /** Drops the parts of the digests of the fleet from a number on. */
-  private _forgetFleet (parts: number): void {
-    partKeys(FLEET, this._fleetParts).slice(parts).forEach(key => forgetWork(this._context.work, key))
-    this._fleetParts = Math.min(this._fleetParts, parts)
+    if (message.from !== this._context.address) this._received.apply(message)
   }
 
   private _reply (ip: string): void {
@@ -404,10 +366,4 @@
     this._sendTo([ip], this._message(this.usesRelays ? NO_WORK : this._ownWork(), hosts, false, true))
     if (this.usesRelays && this._relay.reporters.length > 0) this._sendFleetDigest([ip])
   }
-
-  private _notifyIfNewer (message: HostMessage): void {
-    const { state } = this._context
-    if (message.config <= state.version && message.revision <= state.directory.revision) return
-    this._newerStateListeners.forEach(listener => listener(message.from, message))
-  }
 }
--- a/packages/gateway/src/peers/JaymillHostMessage.ts
+++ b/packages/gateway/src/peers/JaymillHostMessage.ts
@@ -1,6 +1,6 @@
 import { decode, encode } from '@msgpack/msgpack'
-import type { CrashReport, DemandShare, EndpointChange, LoadShare, ReportedRateLimit } from '@jaymill/core'
-import { MAX_HOST_LIMITS } from './constants.js'
+import { QuotaScope, type AccountUse, type CrashReport, type DemandShare, type EndpointChange, type LoadShare, type ReportedRateLimit } from '@jaymill/core'
+import { MAX_ACCOUNT_USES, MAX_HOST_LIMITS } from './constants.js'
 import { packAddresses, unpackAddresses } from './JaymillPackedAddresses.js'
 
 /** Hosts of one availability zone. */
@@ -49,6 +49,12 @@
   readonly changing: readonly string[]
 }
 
+/** Use of the quotas of client accounts. */
+export interface ReportedQuotas {
+  readonly scope: QuotaScope
+  readonly uses: readonly AccountUse[]
+}
+
 /** Message between hosts. Each one is complete by itself, so that the next one makes up for a lost one. */
 export interface HostMessage {
   /** IP address of the sender. */
@@ -82,25 +88,33 @@
   readonly crashes?: CrashReport
   /** Rate limits that endpoints have named, and how much this host uses of them. */
   readonly limits: readonly ReportedRateLimit[]
+  /** Use of the quotas of client accounts; absent when there is nothing to report. */
+  readonly quotas?: ReportedQuotas
 }
 
 /** First element of each datagram; changes with the format. */
 const FORMAT = 1
 
 const RATE_DECIMALS = 100
+const LEVEL_DECIMALS = 1_000
 
 type WireShare = readonly [endpointId: string, requests: number, tokens: number]
 type WireDemand = readonly [service: string, promptRate: number, kvRate: number, waitingTokens: number]
 type WireHosts = readonly [zone: string, addresses: Uint8Array, connected: Uint8Array]
 type WireWork = readonly [
   scope: number, part: number, parts: number, load: readonly WireShare[], directPrefills: readonly WireShare[],
-  demand: readonly WireDemand[], changing: readonly string[], crashes: WireCrashes | null, limits: readonly WireLimit[]
+  demand: readonly WireDemand[], changing: readonly string[], crashes: WireCrashes | null, limits: readonly WireLimit[],
+  quotas: WireQuotas | null
 ]
 
+/** The level is `null` when it is not known. */
+type WireUse = readonly [account: string, used: number, demandPerS: number, level: number | null]
+type WireQuotas = readonly [scope: QuotaScope, uses: readonly WireUse[]]
+
 /** `null` for a limit that has been lifted. */
 type WireLimit = readonly [endpointId: string, perS: number | null, ageMs: number, sent: number]
 
-/** Follows the work, as the limits do, since hosts of earlier versions refuse further elements of a message but ignore them there. */
+/** Follows the work, as the limits and the quotas do, since hosts of earlier versions refuse further elements of a message but ignore them there. */
 type WireCrashes = readonly [
   crashes: CrashReport['crashes'], quarantined: CrashReport['quarantined'], provenParts: CrashReport['provenParts'],
   provenRequests: CrashReport['provenRequests']
@@ -120,11 +134,11 @@
  * @returns Payload of a datagram.
  */
 export function encodeHostMessage (message: HostMessage): Uint8Array {
-  const { from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work, crashes, limits } = message
+  const { from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work, crashes, limits, quotas } = message
   const wire: WireMessage = [
     FORMAT, from, zone, born, seq, connected, ask, leaving, config, revision, Math.round(graceMs), fence, batches,
     hosts.map(list => [list.zone, packAddresses(list.addresses), packAddresses(list.connected)]),
-    toWireWork(work, crashes, limits)
+    toWireWork(work, crashes, limits, quotas)
   ]
   return encode(wire)
 }
@@ -152,7 +166,7 @@
 
 function toMessage (wire: WireMessage): HostMessage {
   const [, from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work] = wire
-  const [scope, part, parts, load, directPrefills, demand, changing, crashes, limits] = work
+  const [scope, part, parts, load, directPrefills, demand, changing, crashes, limits, quotas] = work
   return {
     from,
     zone,
@@ -171,19 +185,45 @@
     )),
     work: { scope, part, parts, load: load.map(toShare), directPrefills: directPrefills.map(toShare), demand: demand.map(toDemand), changing: [...changing] },
     ...(Array.isArray(crashes) ? { crashes: toCrashReport(crashes as WireCrashes) } : {}),
-    limits: Array.isArray(limits) ? limits.slice(0, MAX_HOST_LIMITS).filter(isWireLimit).map(toLimit) : []
+    limits: Array.isArray(limits) ? limits.slice(0, MAX_HOST_LIMITS).filter(isWireLimit).map(toLimit) : [],
+    ...(isWireQuotas(quotas) ? { quotas: toQuotas(quotas) } : {})
   }
 }
 
-function toWireWork (work: ReportedWork, crashes: CrashReport | undefined, limits: readonly ReportedRateLimit[]): WireWork {
+function toWireWork (work: ReportedWork, crashes: CrashReport | undefined, limits: readonly ReportedRateLimit[], quotas: ReportedQuotas | undefined): WireWork {
   const { scope, part, parts, changing } = work
   return [
     scope, part, parts, work.load.map(toWireShare), work.directPrefills.map(toWireShare), work.demand.map(toWireDemand), changing,
     crashes === undefined ? null : [crashes.crashes, crashes.quarantined, crashes.provenParts, crashes.provenRequests],
-    limits.map(({ endpointId, perS, ageMs, sent }) => [endpointId, perS ?? null, Math.round(ageMs), sent])
+    limits.map(({ endpointId, perS, ageMs, sent }) => [endpointId, perS ?? null, Math.round(ageMs), sent]),
+    quotas === undefined ? null : [quotas.scope, quotas.uses.map(toWireUse)]
   ]
 }
 
+function toWireUse ({ account, used, demandPerS, level }: AccountUse): WireUse {
+  return [account, Math.round(used), Math.round(demandPerS * RATE_DECIMALS), level === undefined ? null : Math.round(level * LEVEL_DECIMALS)]
+}
+
+function isWireQuotas (quotas: unknown): quotas is WireQuotas {
+  if (!Array.isArray(quotas)) return false
+  const [scope, uses] = quotas as readonly unknown[]
+  return Object.values(QuotaScope).includes(scope as QuotaScope) && Array.isArray(uses)
+}
+
+function isWireUse (use: unknown): use is WireUse {
+  if (!Array.isArray(use)) return false
+  const [account, used, demandPerS, level] = use as readonly unknown[]
+  return typeof account === 'string' && Number.isFinite(used) && Number.isFinite(demandPerS) && Number(demandPerS) >= 0 && (level === null || Number.isFinite(level))
+}
+
+function toQuotas ([scope, uses]: WireQuotas): ReportedQuotas {
+  return { scope, uses: uses.slice(0, MAX_ACCOUNT_USES).filter(isWireUse).map(toUse) }
+}
+
+function toUse ([account, used, demandPerS, level]: WireUse): AccountUse {
+  return { account, used, demandPerS: demandPerS / RATE_DECIMALS, ...(level === null ? {} : { level: level / LEVEL_DECIMALS }) }
+}
+
 function isWireLimit (limit: unknown): limit is WireLimit {
   if (!Array.isArray(limit)) return false
   const [endpointId, perS, ageMs, sent] = limit as readonly unknown[]
--- a/packages/gateway/src/peers/JaymillHostTable.ts
+++ b/packages/gateway/src/peers/JaymillHostTable.ts
@@ -1,4 +1,5 @@
 import { isNewerHostHeartbeat, RELAY_RETRY_MS, RELAY_TIMEOUT_MS, selectRelays, type SourceReader } from '@jaymill/core'
+import { SILENT_HOST_MEMORY_MS } from './constants.js'
 import type { HostMessage, ZoneHosts } from './JaymillHostMessage.js'
 
 /** Another host, as this host knows it. */
@@ -47,6 +48,14 @@
     return this.entries.filter(({ live }) => live)
   }
 
+  /**
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns Number of hosts that may be serving requests: all but those that have been silent for long, or that have left.
+   */
+  possiblyServing (nowMs: number): number {
+    return this.entries.filter(({ live, leaving, lastSeenMs }) => live || (!leaving && nowMs - lastSeenMs <= SILENT_HOST_MEMORY_MS)).length
+  }
+
   /** Live hosts with their connection to the source. */
   get readers (): readonly SourceReader[] {
     return this.live.map(({ address, zone, connected }) => ({ address, zone, connected }))
--- a/packages/gateway/src/peers/JaymillZoneRelay.ts
+++ b/packages/gateway/src/peers/JaymillZoneRelay.ts
@@ -111,6 +111,14 @@
     applyWork(this._work, partKey(zone, work.part), work)
   }
 
+  /**
+   * @param zone - Another availability zone.
+   * @returns The relay of the zone whose digest counts; `undefined` before the first.
+   */
+  relayOf (zone: string): string | undefined {
+    return this._digests.get(zone)?.relay
+  }
+
   /** Drops digests that are no longer updated, and all of them when no host reports to this one any more. */
   expire (): void {
     const nowMs = this._clock.nowMs()
--- a/packages/gateway/src/peers/constants.ts
+++ b/packages/gateway/src/peers/constants.ts
@@ -25,6 +25,18 @@
 /** Maximum number of rate limits in any other message, which may be a full part of a digest. */
 export const MAX_DIGEST_LIMITS = 4
 
+/** Maximum number of client accounts whose use of their quotas one message reports; keeps it within one datagram. */
+export const MAX_ACCOUNT_USES = 16
+
+/** Interval between the digests of quotas while an account is close to its limit, in milliseconds. */
+export const QUOTA_BUSY_INTERVAL_MS = 500
+
+/** Age of the last digest of the fleet from which a host counts as out of touch with the others, in milliseconds. */
+export const FLEET_DIGEST_TIMEOUT_MS = 4_500
+
+/** Time for which a silent host may still be serving requests, in milliseconds. */
+export const SILENT_HOST_MEMORY_MS = 30_000
+
 /** Maximum size of the endpoint changes in one message, in bytes; larger ones are fetched. */
 export const BATCHES_MAX_BYTES = 600
 
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -42,8 +42,10 @@
     configurationMs: nonNegativeNumberField(Unit.Milliseconds, 'Time within which a published configuration has to take effect on every host.').default(2_000),
     retryRatio: nonNegativeNumberField(Unit.None, 'Maximum ratio of retries to requests across the fleet, for each service.').default(0.2),
     retryMinimum: nonNegativeNumberField(Unit.Requests, 'Retries allowed per window in addition to the ratio, for each service.').default(0),
-    retryWindowSeconds: nonNegativeNumberField(Unit.Seconds, 'Sliding window of the retry budget; 0 allows no retries.').default(10)
-  }).prefault({}).meta({ description: 'Grace period, time for a new configuration, and fleet-wide retry budget.' }),
+    retryWindowSeconds: nonNegativeNumberField(Unit.Seconds, 'Sliding window of the retry budget; 0 allows no retries.').default(10),
+    quotaWindowSeconds: nonNegativeNumberField(Unit.Seconds, 'Window within which the quotas of client accounts have to hold across the fleet.').default(10),
+    quotaOverage: nonNegativeNumberField(Unit.None, 'Share by which a quota may be exceeded while hosts are out of touch with each other.').default(0)
+  }).prefault({}).meta({ description: 'Grace period, time for a new configuration, fleet-wide retry budget, and tolerance of quotas.' }),
   log: z.strictObject({
     level: z.enum(LogLevel).default(LogLevel.Info).meta({ description: 'Lowest severity that is logged.' })
   }).prefault({}).meta({ description: 'Logging.' })
