--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -312,3 +312,6 @@
 
 /** Share of the rate below which the demand for an account counts as none. */
 export const QUOTA_IDLE_SHARE = 0.001
+
+/** Versions of the configuration for which a host remembers that it had them in force; more than come while hosts differ. */
+export const MAX_ACCOUNT_VERSIONS = 32
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export * from './JaymillAccountQuotas.js'
+export * from './JaymillAccountTable.js'
 export * from './JaymillCapacityProbeLimiter.js'
 export * from './JaymillCrashQuarantine.js'
 export * from './JaymillCrashReport.js'
