--- a/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
@@ -1,8 +1,9 @@
-import { encode } from '@msgpack/msgpack'
+import { QuotaScope, type AccountUse } from '@jaymill/core'
+import { decode, encode } from '@msgpack/msgpack'
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { decodeHostMessage, encodeHostMessage, WorkScope, type HostMessage } from '../../peers/JaymillHostMessage.js'
-import { MAX_DIGEST_LIMITS, MAX_HOST_LIMITS } from '../../peers/constants.js'
+import { MAX_ACCOUNT_USES, MAX_DIGEST_LIMITS, MAX_HOST_LIMITS } from '../../peers/constants.js'
 import { withoutOwn } from '../../peers/JaymillReportedWork.js'
 
 const MTU_BYTES = 1_472
@@ -37,12 +38,39 @@
   expect(decodeHostMessage(encodeHostMessage(MESSAGE))).toEqual(MESSAGE)
 })
 
+const USES: readonly AccountUse[] = [{ account: 'payroll', used: 4_711_000, demandPerS: 400_828.25, level: -0.125 }, { account: 'b', used: 0, demandPerS: 0.5 }]
+
+test.each([QuotaScope.Host, QuotaScope.Zone, QuotaScope.Fleet])('the use of quotas is decoded as it was encoded, with scope %s', scope => {
+  const message = { ...MESSAGE, quotas: { scope, uses: USES } }
+  expect(decodeHostMessage(encodeHostMessage(message))).toEqual(message)
+})
+
+function withQuotas (quotas: unknown): Uint8Array {
+  const wire = decode(encodeHostMessage(MESSAGE)) as unknown[]
+  const work = wire.at(-1) as unknown[]
+  return encode([...wire.slice(0, -1), quotas === undefined ? work.slice(0, -1) : [...work.slice(0, -1), quotas]])
+}
+
+test('a message of an earlier release, without quotas, is decoded', () => {
+  expect(decodeHostMessage(withQuotas(undefined))).toEqual(MESSAGE)
+})
+
+test.each([[7], ['text'], [{}], [[7, []]], [[0, {}]], [[0, null]]])('quotas in another format are ignored: %j', quotas => {
+  expect(decodeHostMessage(withQuotas(quotas))).toEqual(MESSAGE)
+})
+
+test.each([[[1, 2, 3, 4]], [['a', 'b', 0, 0]], [['a', 0, -1, 0]], [['a', 0, Number.NaN, 0]], [['a', 0, 0, Number.POSITIVE_INFINITY]], [['a', 0, 0]], [null]])('malformed use of a quota is ignored: %j', use => {
+  expect(decodeHostMessage(withQuotas([QuotaScope.Host, [use, ['a', 1, 100, null]]]))?.quotas?.uses).toEqual([{ account: 'a', used: 1, demandPerS: 1 }])
+})
+
 test('a report of a busy host and a part of a digest fit into one datagram', () => {
   const load = Array.from({ length: 60 }, (_, i) => ({ endpointId: `i-${(0x559cb298 + i).toString(16)}10`, requests: 9, tokens: 41_000 }))
   const limits = (count: number): HostMessage['limits'] => Array.from({ length: count }, (_, i) => ({ endpointId: `i-559cb298${10 + i}`, perS: 12.25, ageMs: 40_000, sent: 17 }))
   const digest = { ...MESSAGE, limits: limits(MAX_DIGEST_LIMITS), batches: [], hosts: [], work: { ...MESSAGE.work, scope: WorkScope.Fleet, load } }
   expect(encodeHostMessage(digest).length).toBeLessThan(MTU_BYTES)
   const addresses = Array.from({ length: 195 }, (_, i) => `10.1.${i >> 8}.${i & 0xff}`)
+  const uses = Array.from({ length: MAX_ACCOUNT_USES }, (_, i) => ({ account: `account-of-a-customer-${i}`, used: 40_000_000, demandPerS: 400_000, level: 0.5 }))
+  expect(encodeHostMessage({ ...MESSAGE, limits: limits(MAX_HOST_LIMITS), quotas: { scope: QuotaScope.Host, uses } }).length).toBeLessThan(MTU_BYTES)
   expect(encodeHostMessage({ ...MESSAGE, limits: limits(MAX_HOST_LIMITS), hosts: [{ zone: 'z', addresses, connected: [] }] }).length).toBeLessThan(MTU_BYTES)
 })
 
