--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -14,6 +14,7 @@
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { checkHostHeader } from './JaymillHostHeader.js'
 import { listenOn } from './JaymillListener.js'
+import type { QuotaCharge } from './JaymillQuotaGate.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
 import { refuseUnreadable } from './JaymillUnreadableRequest.js'
 
@@ -119,11 +120,13 @@
     connection.onEnd(res, () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) connection.endAfter(res)
     let account: ClientAccount | undefined
+    let charge: QuotaCharge | undefined
     try {
       checkHostHeader(req)
       const routed = fromPeer ? this._routeForwarded(req) : this._routeCaller(req, metadata)
       const { route, service, version, config } = routed
       account = routed.account
+      if (!fromPeer) charge = this._context.quotaGate.enter(account, metadata)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
       const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
@@ -151,6 +154,7 @@
       forwarder.checkBeforeRun(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
+      charge?.refused(err)
       this._refuse(req, res, metadata.requestId, err, arrivedMs, account)
     }
   }
