Serve requests by rank, account and deadline while the engines have too little room

While a burst exceeded the engines' memory, a request's rank counted for nothing: LatencyTargetOrder serves the cheapest of those that can still meet their target, so that of equally large requests those with the longest target won, and the most urgent ones, which have the shortest, were late.

Change: UrgencyOrder (baseline: LatencyTargetOrder) sorts by place among those for which the moment counts; a place is the rank and, within it, whether the account asks for more than its part (DemandShares). A queue gives nothing to less urgent requests while an urgent one is refused in the same pass, and at nearly full engines a less urgent request leaves room for one more. UrgencyAdmission (baseline: BacklogAdmission) refuses a late request only for the demand that goes first, and spreads the times to retry. Endpoints get the rank where their requests differ in it. All of it only where routes or accounts of a service differ in rank, or requests have accounts; without them order and refusals are the baseline's (property test).

--- a/packages/core/src/gateway/JaymillQueueOrder.ts
+++ b/packages/core/src/gateway/JaymillQueueOrder.ts
@@ -1,5 +1,19 @@
 import { DEADLINE_PRIORITY_MS, RETRY_AFTER_MAX_MS, RETRY_AFTER_MIN_MS } from './constants.js'
 
+/** How a request yields to others of its service while there is too little room. */
+export interface Urgency {
+  /** Rank of the request; 0 is the most urgent. */
+  readonly rank: number
+  /** Place in the order of ranks and accounts; 0 goes first. */
+  readonly position: number
+  /** Whether its last chance counts as most urgent. */
+  readonly isProtected: boolean
+  /** Whether its caller was refused before and has waited before it came back. */
+  readonly hasWaited: boolean
+  /** Name of its client account, if it has one. */
+  readonly account?: string
+}
+
 /** Request that waits for free capacity at the engines. */
 export interface WaitingRequest {
   readonly id: string
@@ -15,6 +29,8 @@
   readonly cost: number
   /** Whether its caller retries after a refusal. */
   readonly isRetry: boolean
+  /** Absent where all requests of the service have the same rank. */
+  readonly urgency?: Urgency
 }
 
 /** Order in which waiting requests get capacity. */
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -118,6 +118,27 @@
 /** Longest retry delay for a refused caller, in milliseconds; callers wait for up to a third of their time limit. */
 export const RETRY_AFTER_MAX_MS = 4_000
 
+/** Largest random change of a retry delay, as a share; callers that were refused within a second return over as long. */
+export const RETRY_SPREAD = 0.25
+
+/** Part of the callers that have come back whose last chance counts as most urgent. */
+export const PROTECTED_SHARE = 0.25
+
+/** Part of a pool's KV cache in use from which less urgent requests yield. */
+export const FULL_KV_SHARE = 0.8
+
+/** Time over which the parts of ranks and accounts in the demand are averaged, in milliseconds. */
+export const DEMAND_SHARE_MS = 8_000
+
+/** Demand below which nothing is known of it, in KV cache tokens. */
+export const MIN_DEMAND_TOKENS = 1
+
+/** Demand of an account above which it yields, as a multiple of an equal part. */
+export const ACCOUNT_PART_FACTOR = 2
+
+/** Number of recent requests of an account from which its part is known. */
+export const ACCOUNT_MIN_REQUESTS = 4
+
 /** Assumed KV cache holding time before the first measurement, in milliseconds; a response of some hundred tokens. */
 export const HOLDING_TIME_INITIAL_MS = 3_500
 
--- a/packages/gateway/src/forwarding/JaymillCapacityQueue.ts
+++ b/packages/gateway/src/forwarding/JaymillCapacityQueue.ts
@@ -1,4 +1,4 @@
-import { backlogRetryAfterMs, LatencyTargetOrder, refusalRetryAfterMs, type Clock, type QueueOrder, type WaitingRequest } from '@jaymill/core'
+import { LatencyTargetOrder, type Admission, type Clock, type QueueOrder, type Refusal, type WaitingRequest } from '@jaymill/core'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import { CAPACITY_RETRY_MS } from './constants.js'
 
@@ -13,31 +13,39 @@
 /** Result of waiting for capacity. */
 export interface CapacityOutcome {
   readonly reservation?: Reservation
-  /** Time after which the caller should retry, in milliseconds; present when no capacity was found. */
-  readonly retryAfterMs?: number
+  /** Present when the request is refused. */
+  readonly refusal?: Refusal
 }
 
 interface QueuedRequest extends CapacityRequest {
   readonly resolve: (outcome: CapacityOutcome) => void
 }
 
+/** What the requests that were refused in one pass still need. */
+interface RefusedInPass {
+  /** Smallest need, in tokens. */
+  readonly tokens: number
+  /** Position of the most urgent one. */
+  readonly position: number
+}
+
 /** Queue of one service's requests on this host that wait for capacity at its engines. Reservations are attempted one at a time. */
 export class CapacityQueue {
   private readonly _clock: Clock
+  private readonly _admission: Admission
   private readonly _order: QueueOrder
-  private readonly _backlogMs: () => number
   private _waiting: readonly QueuedRequest[] = []
   private _processing = false
   private _timer: NodeJS.Timeout | undefined
 
   /**
    * @param clock - Source of time.
-   * @param backlogMs - Returns the estimated time until the requests waiting now on all hosts have capacity, in milliseconds.
+   * @param admission - Decides which requests are refused.
    * @param order - Order of the requests.
    */
-  constructor (clock: Clock, backlogMs: () => number, order: QueueOrder = new LatencyTargetOrder()) {
+  constructor (clock: Clock, admission: Admission, order: QueueOrder = new LatencyTargetOrder()) {
     this._clock = clock
-    this._backlogMs = backlogMs
+    this._admission = admission
     this._order = order
   }
 
@@ -85,23 +93,21 @@
 
   private async _process (): Promise<void> {
     const nowMs = this._clock.nowMs()
-    const backlogMs = this._backlogMs()
-    this._waiting.filter(({ callerDeadlineMs }) => callerDeadlineMs < nowMs).forEach(queued => this._settle(queued, { retryAfterMs: backlogRetryAfterMs(backlogMs) }))
-    this._waiting.forEach(queued => {
-      const retryAfterMs = refusalRetryAfterMs(queued, backlogMs, nowMs)
-      if (retryAfterMs !== undefined) this._settle(queued, { retryAfterMs })
-    })
-    await this._tryInOrder(this._order.sort(this._waiting, nowMs), Number.POSITIVE_INFINITY)
+    this._admission.refusals(this._waiting, nowMs).forEach((refusal, queued) => this._settle(queued, { refusal }))
+    await this._tryInOrder(this._order.sort(this._waiting, nowMs), { tokens: Number.POSITIVE_INFINITY, position: Number.POSITIVE_INFINITY })
   }
 
-  /** Skips requests that need at least as many tokens as one that was refused in the same pass. */
-  private async _tryInOrder (ordered: readonly QueuedRequest[], unavailableTokens: number): Promise<void> {
+  /** Skips requests that need at least as many tokens as one that was refused in the same pass, or that yield to it. */
+  private async _tryInOrder (ordered: readonly QueuedRequest[], refused: RefusedInPass): Promise<void> {
     const [queued, ...rest] = ordered
     if (queued === undefined) return
-    const skipped = queued.signal.aborted || !this._waiting.includes(queued) || queued.tokens >= unavailableTokens
+    const { tokens, signal, urgency } = queued
+    const yields = urgency !== undefined && urgency.position > refused.position
+    const skipped = signal.aborted || !this._waiting.includes(queued) || tokens >= refused.tokens || yields
     const reservation = skipped ? undefined : await queued.reserve()
     if (reservation !== undefined) this._settle(queued, { reservation })
-    await this._tryInOrder(rest, skipped || reservation !== undefined ? unavailableTokens : queued.tokens)
+    const isRefused = !skipped && reservation === undefined
+    await this._tryInOrder(rest, isRefused ? { tokens, position: Math.min(refused.position, urgency?.position ?? Number.POSITIVE_INFINITY) } : refused)
   }
 
   private _settle (queued: QueuedRequest, outcome: CapacityOutcome): void {
--- a/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
@@ -1,4 +1,7 @@
-import { CapacityProbeLimiter, drainMs, EngineRole, type EndpointRecord } from '@jaymill/core'
+import {
+  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, isNearlyFull, PROTECTED_SHARE, RETRY_AFTER_MIN_MS, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  type EndpointRecord, type PoolView, type Urgency
+} from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
 import { MAX_PROBES_PER_PASS, PREFILL_BACKLOG_MS } from './constants.js'
@@ -39,13 +42,19 @@
   readonly isRetry: boolean
 }
 
+/** Queue of a service, and the parts of its demand. */
+interface ServiceQueue {
+  readonly queue: CapacityQueue
+  readonly shares: DemandShares
+}
+
 /** Gives requests capacity at the decode engines: one queue for each service on this host. */
 export class EngineCapacity {
   private readonly _context: ForwardingContext
   private readonly _pools: EnginePools
   private readonly _reservations: EngineReservations
   private readonly _probeLimiter: CapacityProbeLimiter
-  private readonly _queues = new Map<string, CapacityQueue>()
+  private readonly _queues = new Map<string, ServiceQueue>()
 
   /**
    * @param context - Components of the host.
@@ -58,8 +67,8 @@
     this._pools = pools
     this._reservations = reservations
     this._probeLimiter = probeLimiter
-    context.reachability.onLost(service => this._queues.get(service)?.releaseAll())
-    context.load.onFreed(() => this._queues.forEach(queue => queue.capacityFreed()))
+    context.reachability.onLost(service => this._queues.get(service)?.queue.releaseAll())
+    context.load.onFreed(() => this._queues.forEach(({ queue }) => queue.capacityFreed()))
   }
 
   /**
@@ -67,7 +76,7 @@
    * @returns Time until it has capacity if others wait already, in milliseconds; 0 if none does.
    */
   waitMs (request: GatewayRequest): number {
-    return this._queue(request).size > 0 ? this._backlogMs(request) : 0
+    return this._queue(request).queue.size > 0 ? this._backlogMs(request) : 0
   }
 
   /**
@@ -80,8 +89,15 @@
    */
   async acquire (request: GatewayRequest, progress: PromptProgress, times: CapacityTimes): Promise<CapacityOutcome> {
     const { id, arrivedMs, metadata, signal } = request
-    return await this._queue(request).acquire({
+    const { clock } = this._context
+    const { queue } = this._queue(request)
+    progress.urgency ??= this._urgency(request)
+    const { urgency } = progress
+    const startMs = clock.nowMs()
+    const ahead = queue.size
+    const outcome = await queue.acquire({
       ...times,
+      ...(urgency === undefined ? {} : { urgency }),
       id,
       arrivedMs,
       tokens: kvTokensOf(request),
@@ -89,6 +105,8 @@
       signal,
       reserve: async () => await this._tryReserve(request, progress)
     })
+    this._record(request, urgency, outcome, { ahead, ms: clock.nowMs() - startMs })
+    return outcome
   }
 
   /**
@@ -99,7 +117,7 @@
    */
   released (request: GatewayRequest, endpoint: EndpointRecord): void {
     this._probeLimiter.recordRelease(endpoint.id)
-    this._queue(request).capacityFreed()
+    this._queue(request).queue.capacityFreed()
   }
 
   private async _tryReserve (request: GatewayRequest, progress: PromptProgress): Promise<Reservation | undefined> {
@@ -108,39 +126,97 @@
     return await this._reservations.reserveFirst(request, this._enginesToProbe(request, progress), prefillMs)
   }
 
-  private _queue (request: GatewayRequest): CapacityQueue {
+  private _record ({ id, service }: GatewayRequest, urgency: Urgency | undefined, { reservation, refusal }: CapacityOutcome, wait: { readonly ahead: number, readonly ms: number }): void {
+    if (urgency === undefined) return
+    const { log, metrics } = this._context
+    const { rank, account, position, isProtected, hasWaited } = urgency
+    const outcome = refusal?.reason ?? (reservation === undefined ? 'ended' : 'reserved')
+    metrics.recordCapacityWait({ service: service.name, rank, outcome }, wait.ms)
+    log.request(id, 'capacity', {
+      outcome, rank, account, position, isProtected, hasWaited, ahead: wait.ahead, retryAfterMs: refusal?.retryAfterMs, ms: Math.round(wait.ms)
+    })
+  }
+
+  private _queue (request: GatewayRequest): ServiceQueue {
     const service = request.service.name
     const existing = this._queues.get(service)
     if (existing !== undefined) return existing
-    const queue = new CapacityQueue(this._context.clock, () => this._backlogMs(request))
-    this._queues.set(service, queue)
-    this._context.demand.registerWaitingTokens(service, () => queue.waitingTokens)
-    return queue
+    const { clock, random, demand } = this._context
+    const shares = new DemandShares()
+    const queue = new CapacityQueue(clock, new UrgencyAdmission(() => this._view(request, shares), random), new UrgencyOrder())
+    this._queues.set(service, { queue, shares })
+    demand.registerWaitingTokens(service, () => queue.waitingTokens)
+    return { queue, shares }
   }
 
-  /** Estimates the time until all waiting requests have capacity, in milliseconds. */
-  private _backlogMs (request: GatewayRequest): number {
+  /** Returns how a request yields to others; `undefined` where nothing distinguishes the requests of its service. */
+  private _urgency (request: GatewayRequest): Urgency | undefined {
+    const { state, random, clock } = this._context
+    const { service, priority, account, route, metadata } = request
+    const ranks = state.config === undefined ? [] : serviceRanks(state.config, service.name)
+    const isPlaceable = kvTokensOf(request) <= (service.engine?.kvTokens ?? 0)
+    if (!isPlaceable || (ranks.length <= 1 && account === undefined)) return undefined
+    const hasWaited = route.timeoutMs - (metadata.deadlineMs ?? route.timeoutMs) >= RETRY_AFTER_MIN_MS
+    const level = ranks.filter(rank => rank < priority).length
+    const ofAccount = account === undefined ? {} : { account: account.name }
+    return {
+      ...ofAccount,
+      rank: priority,
+      position: this._queue(request).shares.add({ ...ofAccount, level, tokens: kvTokensOf(request) }, clock.nowMs()),
+      isProtected: hasWaited && random.next() < PROTECTED_SHARE,
+      hasWaited
+    }
+  }
+
+  private _view (request: GatewayRequest, shares: DemandShares): PoolView {
     const { demand, clock } = this._context
+    const nowMs = clock.nowMs()
     const service = request.service.name
-    const capacityTokens = this._pools.pool(request, EngineRole.Decode).length * (request.service.engine?.kvTokens ?? 0)
-    const { waitingTokens, kvRate } = demand.total(service, clock.nowMs())
-    return drainMs({ waitingTokens, arrivalRate: kvRate, capacityTokens, holdingTimeMs: demand.holdingTimeMs(service) })
+    const { waitingTokens, kvRate } = demand.total(service, nowMs)
+    return {
+      ...this._memory(request),
+      waitingTokens,
+      arrivalRate: kvRate,
+      holdingTimeMs: demand.holdingTimeMs(service),
+      shareUpTo: position => shares.upTo(position, nowMs)
+    }
+  }
+
+  /** Returns the KV cache of the decode pool, and how much of it is in use by all hosts as last reported, in tokens. */
+  private _memory (request: GatewayRequest): Pick<PoolView, 'capacityTokens' | 'usedTokens'> {
+    const engines = this._pools.pool(request, EngineRole.Decode)
+    const capacityTokens = engines.length * (request.service.engine?.kvTokens ?? 0)
+    return { capacityTokens, usedTokens: engines.reduce((sum, { id }) => sum + this._context.load.at(id).tokens, 0) }
+  }
+
+  /** Estimates the time until all waiting requests have capacity, in milliseconds. */
+  private _backlogMs (request: GatewayRequest): number {
+    return drainMs(this._view(request, this._queue(request).shares))
   }
 
   /**
    * Returns engines whose reported load leaves enough capacity. While the work of other hosts is known late, it also returns full
-   * ones that are due for a probe: an engine grants less than the load that hosts count, so a probe could overfill it.
+   * ones that are due for a probe: an engine grants less than the load that hosts count, so a probe could overfill it. While the
+   * pool is nearly full, a less urgent request leaves the room for one more of its size to others.
    */
   private _enginesToProbe (request: GatewayRequest, progress: PromptProgress): readonly EndpointRecord[] {
     const { load, loadAgeMs, clock, reliability, admission } = this._context
     const kvTokens = request.service.engine?.kvTokens ?? Number.POSITIVE_INFINITY
     const nowMs = clock.nowMs()
+    const tokens = kvTokensOf(request)
+    const yields = this._yields(request, progress)
+    const neededTokens = yields ? 2 * tokens : tokens
     const ranked = this._pools.rankedDecoders(request, progress)
     const trusted = ranked.filter(({ id }) => !reliability.isSuspect(id, nowMs))
     const due = (trusted.length > 0 ? trusted : ranked).filter(record => admission.allows(record)).filter(({ id }) => {
-      const hasCapacity = load.at(id).tokens + kvTokensOf(request) <= kvTokens
-      return (hasCapacity || loadAgeMs() > 0) && this._probeLimiter.shouldProbe(id, hasCapacity, ranked.length, nowMs)
+      const hasCapacity = load.at(id).tokens + neededTokens <= kvTokens
+      return (hasCapacity || (loadAgeMs() > 0 && !yields)) && this._probeLimiter.shouldProbe(id, hasCapacity, ranked.length, nowMs)
     })
     return due.slice(0, MAX_PROBES_PER_PASS)
   }
+
+  private _yields (request: GatewayRequest, { urgency }: PromptProgress): boolean {
+    if (urgency === undefined || urgency.position === 0 || urgency.isProtected) return false
+    return isNearlyFull(this._memory(request))
+  }
 }
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, RequestError, sampleEndpoints, sampleSize,
+  CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, RequestError, sampleEndpoints, sampleSize, serviceRanks,
   type Candidate, type EndpointRanking, type EndpointRecord, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -43,7 +43,7 @@
     const { req, body, account } = request
     const headers = forwardedHeaders(request, this._context)
     const accountMetadata = account === undefined ? {} : { account: account.name }
-    const callHeaders = dialect.callHeaders({ ...metadata, ...accountMetadata, endpointId: endpoint.id, deadlineMs: this._remainingMs(request) })
+    const callHeaders = dialect.callHeaders({ ...metadata, ...accountMetadata, ...this._rankMetadata(request), endpointId: endpoint.id, deadlineMs: this._remainingMs(request) })
     return {
       endpoint,
       method: req.method ?? 'GET',
@@ -55,6 +55,12 @@
     }
   }
 
+  /** Endpoints get the rank only where their requests differ in it. */
+  private _rankMetadata ({ service, priority }: GatewayRequest): Pick<CallMetadata, 'priority'> {
+    const { config } = this._context.state
+    return config === undefined || serviceRanks(config, service.name).length <= 1 ? {} : { priority }
+  }
+
   protected _remainingMs ({ deadlineMs }: GatewayRequest): number {
     return Math.max(0, Math.floor(deadlineMs - this._context.clock.nowMs()))
   }
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -68,6 +68,7 @@
     const progress: PromptProgress = {
       relay: new StreamRelay(request),
       hintTokens,
+      urgency: undefined,
       runs: 0,
       rounds: 0,
       failure: undefined,
@@ -125,7 +126,7 @@
     const callerTimeoutAtMs = progress.rounds > 1 ? nowMs + callerTimeoutMs(route) : arrivedMs + callerTimeoutMs(route)
     const reservationDeadlineMs = Math.min(callerTimeoutAtMs, request.deadlineMs) - firstEventMs - FIRST_EVENT_MARGIN_MS
     this._checkAdmission(request, progress, Math.max(reservationDeadlineMs, nowMs))
-    const { reservation, retryAfterMs } = await this._capacity.acquire(request, progress, {
+    const { reservation, refusal } = await this._capacity.acquire(request, progress, {
       targetDeadlineMs: isRetry ? Number.NEGATIVE_INFINITY : arrivedMs + route.targetLatencyMs - firstEventMs,
       callerDeadlineMs: Math.max(reservationDeadlineMs, nowMs),
       isRetry: isRetry || progress.rounds > 1
@@ -135,7 +136,7 @@
     if (signal.aborted) throw this._finalError(request, progress)
     if (peers.shouldForward(request, mayHaveRun)) return undefined
     if (mayHaveRun) throw this._finalError(request, progress)
-    throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: retryAfterMs ?? BUSY_RETRY_AFTER_MS })
+    throw new RequestError(ErrorKind.Overloaded, 'no decode engine has room', { retryAfterMs: refusal?.retryAfterMs ?? BUSY_RETRY_AFTER_MS })
   }
 
   /** Refuses a request at once when no decode engine may get it before its caller gives up. */
--- a/packages/gateway/src/forwarding/JaymillPromptProgress.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptProgress.ts
@@ -1,4 +1,4 @@
-import type { EndpointRecord } from '@jaymill/core'
+import type { EndpointRecord, Urgency } from '@jaymill/core'
 import type { KvSource } from '../ports/JaymillWireDialect.js'
 import type { RunProgress } from './JaymillRunProgress.js'
 
@@ -13,6 +13,8 @@
 export interface PromptProgress extends RunProgress {
   /** Caller's estimate of the output length, in tokens. */
   readonly hintTokens: number
+  /** How the request yields to others; set when it first needs capacity. */
+  urgency: Urgency | undefined
   /** Rounds of reservation, prefill and decode. */
   rounds: number
   /** Whether a prefill engine has prefilled the prompt; the first such call does not count as a retry. */
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -7,6 +7,15 @@
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 4, 8, 16]
 const MS_PER_SECOND = 1_000
 
+/** What became of a request that needed capacity at the engines. */
+export interface CapacityLabels {
+  readonly service: string
+  /** Rank of the request; 0 is the most urgent. */
+  readonly rank: number
+  /** `reserved`, the reason of its refusal, or `ended` when its caller left or another host serves it. */
+  readonly outcome: string
+}
+
 /** Values that are read when metrics are collected. */
 export interface GatewayGauges {
   readonly running: () => number
@@ -27,6 +36,7 @@
   private readonly _retries: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
+  private readonly _capacityWait: Histogram
 
   constructor () {
     const registers = [this._registry]
@@ -41,6 +51,19 @@
     this._firstEvent = new Histogram({
       name: 'jaymill_first_event_seconds', help: 'Time to the first event of a stream.', buckets: LATENCY_BUCKETS_S, registers
     })
+    this._capacityWait = new Histogram({
+      name: 'jaymill_capacity_wait_seconds', help: 'Time that requests waited for capacity at the engines.', labelNames: ['service', 'rank', 'outcome'], buckets: LATENCY_BUCKETS_S, registers
+    })
+  }
+
+  /**
+   * Records the end of a wait for capacity, where requests of a service differ in rank or account.
+   *
+   * @param labels - What became of the request.
+   * @param ms - Time that it waited, in milliseconds.
+   */
+  recordCapacityWait ({ service, rank, outcome }: CapacityLabels, ms: number): void {
+    this._capacityWait.observe({ service, rank, outcome }, ms / MS_PER_SECOND)
   }
 
   /**
