Less urgent requests leave room of mean size at nearly full engines

They left room for one more of their own size: a prompt of half an engine's memory could then run at no engine in use.

--- a/packages/core/src/__tests__/unit/gateway/JaymillUrgency.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillUrgency.test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from 'vitest'
 import {
   BacklogAdmission, DemandShares, drainMs, LatencyTargetOrder, PROTECTED_SHARE, RefusalReason, SeededRandom, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  yieldingRoomTokens, yieldsRoom,
   type Admission, type GatewayConfig, type GatewayRoute, type PoolView, type QueueOrder, type Urgency, type WaitingRequest
 } from '../../../index.js'
 
@@ -216,6 +217,15 @@
   expect([0, 2_300, 2_500].map(first)).toEqual(['fresh', 'fresh', 'late'])
 })
 
+// Answers a burst over many hosts, each with few requests, where no queue shows a more urgent request of another host.
+test('at nearly full engines a less urgent request leaves room, and a large one still fits an idle engine', () => {
+  const full = { usedTokens: 850, capacityTokens: 1_000 }
+  const urgencies = [undefined, { ...URGENCY, position: 0 }, URGENCY, { ...URGENCY, isProtected: true }]
+  expect(urgencies.map(urgency => yieldsRoom(urgency, full))).toEqual([false, false, true, false])
+  expect(yieldsRoom(URGENCY, { ...full, usedTokens: 700 })).toBe(false)
+  expect([40, 80, 120].map(tokens => yieldingRoomTokens(tokens, 50, 100))).toEqual([90, 100, 120])
+})
+
 // Deployments without ranks and accounts are served as before.
 test('without ranks and accounts, order and refusals are those of the baseline', () => {
   const times = fc.integer({ min: 0, max: 4_000 })
--- a/packages/core/src/gateway/JaymillAdmission.ts
+++ b/packages/core/src/gateway/JaymillAdmission.ts
@@ -1,6 +1,6 @@
 import type { Random } from '../ports/JaymillRandom.js'
 import { FULL_KV_SHARE, RETRY_AFTER_MAX_MS, RETRY_AFTER_MIN_MS, RETRY_SPREAD } from './constants.js'
-import { backlogRetryAfterMs, drainMs, refusalRetryAfterMs, type PoolBacklog, type WaitingRequest } from './JaymillQueueOrder.js'
+import { backlogRetryAfterMs, drainMs, refusalRetryAfterMs, type PoolBacklog, type Urgency, type WaitingRequest } from './JaymillQueueOrder.js'
 
 /** Why a waiting request is refused. */
 export enum RefusalReason {
@@ -94,13 +94,27 @@
 }
 
 /**
- * @param pool - A pool.
- * @returns Whether its engines are nearly full, so that less urgent requests leave room for others.
+ * Decides whether a request leaves room at the engines to more urgent ones of other hosts, whose queues this host does not see.
+ *
+ * @param urgency - How the request yields; `undefined` where nothing distinguishes requests.
+ * @param pool - KV cache of the pool and how much of it is in use.
+ * @returns Whether the pool is nearly full and others go first.
  */
-export function isNearlyFull ({ usedTokens, capacityTokens }: Pick<PoolView, 'usedTokens' | 'capacityTokens'>): boolean {
+export function yieldsRoom (urgency: Urgency | undefined, { usedTokens, capacityTokens }: Pick<PoolView, 'usedTokens' | 'capacityTokens'>): boolean {
+  if (urgency === undefined || urgency.position === 0 || urgency.isProtected) return false
   return usedTokens >= FULL_KV_SHARE * capacityTokens
 }
 
+/**
+ * @param tokens - KV cache that a request needs, in tokens.
+ * @param meanTokens - Mean need of the requests of its service, in tokens.
+ * @param kvTokens - KV cache of an engine, in tokens.
+ * @returns KV cache that has to be free at an engine for a request that yields, in tokens: an idle engine always has enough.
+ */
+export function yieldingRoomTokens (tokens: number, meanTokens: number, kvTokens: number): number {
+  return Math.max(tokens, Math.min(kvTokens, tokens + meanTokens))
+}
+
 function positionBacklogMs (pool: PoolView, { urgency }: WaitingRequest): number {
   const share = urgency === undefined ? 1 : pool.shareUpTo(urgency.position)
   return drainMs({ ...pool, waitingTokens: pool.waitingTokens * share, arrivalRate: pool.arrivalRate * share })
--- a/packages/core/src/gateway/JaymillDemandShares.ts
+++ b/packages/core/src/gateway/JaymillDemandShares.ts
@@ -51,6 +51,14 @@
     return total < MIN_DEMAND_TOKENS ? 1 : tokensOf(entries.filter(([other]) => other <= position)) / total
   }
 
+  /**
+   * @returns Mean KV cache that a recent request needs, in tokens; 0 without requests.
+   */
+  get meanTokens (): number {
+    const { tokens, requests } = [...this._positions.values()].reduce((sum, decayed) => ({ tokens: sum.tokens + decayed.tokens, requests: sum.requests + decayed.requests }), { tokens: 0, requests: 0 })
+    return requests === 0 ? 0 : tokens / requests
+  }
+
   private _countAccount (account: string, tokens: number, nowMs: number): boolean {
     this._accounts.set(account, added(this._accounts.get(account), tokens, nowMs))
     const active = [...this._accounts].filter(([, decayed]) => tokensAt(decayed, nowMs) >= MIN_DEMAND_TOKENS)
--- a/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
@@ -1,5 +1,6 @@
 import {
-  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, isNearlyFull, PROTECTED_SHARE, RETRY_AFTER_MIN_MS, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, PROTECTED_SHARE, RETRY_AFTER_MIN_MS, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  yieldingRoomTokens, yieldsRoom,
   type EndpointRecord, type PoolView, type Urgency
 } from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
@@ -197,15 +198,15 @@
   /**
    * Returns engines whose reported load leaves enough capacity. While the work of other hosts is known late, it also returns full
    * ones that are due for a probe: an engine grants less than the load that hosts count, so a probe could overfill it. While the
-   * pool is nearly full, a less urgent request leaves the room for one more of its size to others.
+   * pool is nearly full, a less urgent request leaves the room for one more of mean size to others.
    */
   private _enginesToProbe (request: GatewayRequest, progress: PromptProgress): readonly EndpointRecord[] {
     const { load, loadAgeMs, clock, reliability, admission } = this._context
     const kvTokens = request.service.engine?.kvTokens ?? Number.POSITIVE_INFINITY
     const nowMs = clock.nowMs()
     const tokens = kvTokensOf(request)
-    const yields = this._yields(request, progress)
-    const neededTokens = yields ? 2 * tokens : tokens
+    const yields = yieldsRoom(progress.urgency, this._memory(request))
+    const neededTokens = yields ? yieldingRoomTokens(tokens, this._queue(request).shares.meanTokens, kvTokens) : tokens
     const ranked = this._pools.rankedDecoders(request, progress)
     const trusted = ranked.filter(({ id }) => !reliability.isSuspect(id, nowMs))
     const due = (trusted.length > 0 ? trusted : ranked).filter(record => admission.allows(record)).filter(({ id }) => {
@@ -214,9 +215,4 @@
     })
     return due.slice(0, MAX_PROBES_PER_PASS)
   }
-
-  private _yields (request: GatewayRequest, { urgency }: PromptProgress): boolean {
-    if (urgency === undefined || urgency.position === 0 || urgency.isProtected) return false
-    return isNearlyFull(this._memory(request))
-  }
 }
