A refused request without a body leaves its connection open

Node.js marks a request as complete only after its handler was called, so the refusal of any request at its head (404, and now 401) announced the end of the connection, also where no body was left unread. Now only a request that announces a body ends its connection.

--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -220,7 +220,7 @@
       config: this._context.state.version,
       ms
     })
-    if (!req.complete) res.setHeader('Connection', 'close')
+    if (!req.complete && announcesBody(req)) res.setHeader('Connection', 'close')
     sendProblem(res, id, failure)
   }
 
@@ -242,9 +242,13 @@
   return new RequestError(ErrorKind.RequestTimeout, 'the body did not arrive in time')
 }
 
+/** Node.js marks a request without a body as complete only after its handler was called. */
+function announcesBody ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer | null> {
-  const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
-  if (!hasBody) return null
+  if (!announcesBody(req)) return null
   const tooLarge = (): RequestError => new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
   if (Number(req.headers['content-length'] ?? 0) > maxBytes) throw tooLarge()
   return await readBounded(req, maxBytes, tooLarge)
