Quotas: demand that is not sampled at its peaks, fewer digests

Cause: hosts report right after a request, when the decaying average of demand peaks, so that relays saw up to twice the demand, held accounts for busy at 61% of their limit and sent digests at once whenever one crossed the threshold. Besides, the last demand of a host without further requests stood until it was outdated.

Digests while an account is busy keep an interval of 600 ms. Reports go on until hardly any demand is left.

--- a/packages/core/src/__tests__/unit/gateway/JaymillAccountQuotas.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillAccountQuotas.test.ts
@@ -87,7 +87,7 @@
 /** Reports demand, but not what has been used. */
 class UncountedQuotas extends AccountQuotas {
   override report (scope: QuotaScope, max: number, nowMs: number): readonly AccountUse[] {
-    return super.report(scope, max, nowMs).map(({ account, demandPerS }) => ({ account, demandPerS, used: 0 }))
+    return super.report(scope, max, nowMs).map(({ account, demandPerS }) => ({ account, demandPerS, used: 0, recent: 0 }))
   }
 }
 
@@ -150,7 +150,7 @@
 
 test('state is only kept for accounts with a quota that are in use', () => {
   const quotas = single()
-  quotas.merge({ source: 'h', scope: QuotaScope.Host, process: 'h@1' }, [{ account: 'unknown', used: 5, demandPerS: 5 }, { account: 'a', used: 5, demandPerS: 5 }], 0)
+  quotas.merge({ source: 'h', scope: QuotaScope.Host, process: 'h@1' }, [{ account: 'unknown', used: 5, demandPerS: 5, recent: 5 }, { account: 'a', used: 5, demandPerS: 5, recent: 5 }], 0)
   expect(quotas.report(QuotaScope.Fleet, 16, 10).map(({ account }) => account)).toEqual(['a'])
   quotas.observeHosts(1, 1, 200_000)
   expect(quotas.report(QuotaScope.Fleet, 16, 200_000)).toEqual([])
--- a/packages/core/src/__tests__/unit/gateway/QuotaFleet.ts
+++ b/packages/core/src/__tests__/unit/gateway/QuotaFleet.ts
@@ -17,7 +17,7 @@
 const HOST_REPORT_MS = 500
 const ZONE_REPORT_MS = 1_000
 const FLEET_REPORT_MS = 2_000
-const BUSY_REPORT_MS = 500
+const BUSY_REPORT_MS = 600
 const LOST_AFTER_MS = 4_500
 /** Hosts from which the relays are chosen, the first ones. */
 const RELAY_CANDIDATES = 24
@@ -62,7 +62,7 @@
   process: number
   rate: number
   running: boolean
-  busy: readonly string[]
+  readonly digestMs: Map<QuotaScope, number>
   readonly heardMs: number[]
 }
 
@@ -91,7 +91,7 @@
     this._random = new SeededRandom(scenario.seed)
     this._weights = Array.from({ length: scenario.hosts }, (_, i) => scenario.weight?.(i) ?? 1)
     this._hosts = Array.from({ length: scenario.hosts }, (_, index) => ({
-      index, zone: index % ZONES, quotas: this._create(), process: 0, rate: 0, running: true, busy: [], heardMs: Array.from({ length: scenario.hosts }, () => 0)
+      index, zone: index % ZONES, quotas: this._create(), process: 0, rate: 0, running: true, digestMs: new Map(), heardMs: Array.from({ length: scenario.hosts }, () => 0)
     }))
   }
 
@@ -114,7 +114,10 @@
 
   private _update (host: ModelHost, nowMs: number): void {
     const running = this._scenario.runs?.(host.index, nowMs) ?? true
-    if (running && !host.running) Object.assign(host, { quotas: this._create(), process: host.process + 1, rate: 0 })
+    if (running && !host.running) {
+      Object.assign(host, { quotas: this._create(), process: host.process + 1, rate: 0 })
+      host.heardMs.fill(Number.NEGATIVE_INFINITY)
+    }
     host.running = running
     const rate = this._scenario.rate?.(nowMs, host.index) ?? RATE_PER_S
     if (rate !== host.rate) host.quotas.configure(accountsWith(rate), nowMs)
@@ -134,14 +137,16 @@
     }
     if (isDue(HOST_REPORT_MS)) this._relays(host, host.zone, nowMs).forEach(relay => this._send(host, relay, QuotaScope.Host, nowMs))
     if (host.index >= RELAY_CANDIDATES || !this._relays(host, host.zone, nowMs).includes(host)) return
-    const busyAccounts = host.quotas.busyAccounts(nowMs)
-    const busy = busyAccounts.length > 0
-    const isNews = busyAccounts.some(account => !host.busy.includes(account))
-    host.busy = busyAccounts
+    const isDigestDue = (scope: QuotaScope, intervalMs: number): boolean => {
+      const isNow = nowMs - (host.digestMs.get(scope) ?? -host.index * 30) >= (isBusy ? Math.min(BUSY_REPORT_MS, intervalMs) : intervalMs)
+      if (isNow) host.digestMs.set(scope, nowMs)
+      return isNow
+    }
+    const isBusy = host.quotas.busyAccounts(nowMs).length > 0
     const otherZones = Array.from({ length: ZONES }, (_, zone) => zone).filter(zone => zone !== host.zone)
-    if (isNews || isDue(busy ? BUSY_REPORT_MS : ZONE_REPORT_MS)) otherZones.flatMap(zone => this._relays(host, zone, nowMs)).forEach(relay => this._send(host, relay, QuotaScope.Zone, nowMs))
+    if (isDigestDue(QuotaScope.Zone, ZONE_REPORT_MS)) otherZones.flatMap(zone => this._relays(host, zone, nowMs)).forEach(relay => this._send(host, relay, QuotaScope.Zone, nowMs))
     const members = this._hosts.filter(({ index, zone }) => zone === host.zone && index !== host.index)
-    if (isNews || isDue(busy ? BUSY_REPORT_MS : FLEET_REPORT_MS)) members.forEach(member => this._send(host, member, QuotaScope.Fleet, nowMs))
+    if (isDigestDue(QuotaScope.Fleet, FLEET_REPORT_MS)) members.forEach(member => this._send(host, member, QuotaScope.Fleet, nowMs))
   }
 
   private _relays (host: ModelHost, zone: number, nowMs: number): readonly ModelHost[] {
--- a/packages/core/src/gateway/JaymillQuotaLedger.ts
+++ b/packages/core/src/gateway/JaymillQuotaLedger.ts
@@ -1,15 +1,12 @@
 import {
   QUOTA_BUSY_LEVEL, QUOTA_BUSY_SHARE, QUOTA_CONVERGENCE_MS, QUOTA_DEMAND_SMOOTH_MS, QUOTA_IDLE_SHARE, QUOTA_LEVEL_AGE_MS, QUOTA_MEMORY_MS,
-  QUOTA_MIN_DEPTH_MS, QUOTA_SOURCE_TTL_MS
+  QUOTA_MIN_DEPTH_MS, QUOTA_RECENT_MS, QUOTA_SOURCE_TTL_MS
 } from './constants.js'
 import type { AccountQuota } from './JaymillGatewayConfig.js'
 import type { QuotaShare } from './JaymillQuotaShare.js'
 
 const MS_PER_SECOND = 1_000
 
-/** Smoothing times of demand that count as recent. */
-const RECENT_DEMANDS = 2
-
 /** Whose use of a quota a report contains. */
 export enum QuotaScope {
   /** That of one host. */
@@ -27,6 +24,8 @@
   readonly used: number
   /** Units per second that callers ask for. */
   readonly demandPerS: number
+  /** Units that callers have asked for lately; what a receiver counts that does not know what was used before. */
+  readonly recent: number
   /** Level of the bucket as a share of its depth; absent while the sender has not counted for long. */
   readonly level?: number
 }
@@ -66,6 +65,10 @@
   private _atMs: number
   /** Time for which requests have been admitted, in milliseconds. */
   private _openMs = 0
+  /** Units that callers have asked this host for, by two exponential decays. */
+  private _recent = 0
+  private _latest = 0
+  /** Follows the latest units by the same decay: reports are often sent right after a request, when these peak. */
   private _ownDemandPerS = 0
   private _othersDemandPerS = 0
   private _used = 0
@@ -127,7 +130,8 @@
   ask (units: number, nowMs: number): void {
     this._advance(nowMs)
     this._lastAskedMs = nowMs
-    this._ownDemandPerS += units * MS_PER_SECOND / QUOTA_DEMAND_SMOOTH_MS
+    this._recent += units
+    this._latest += units
   }
 
   /**
@@ -152,7 +156,8 @@
    */
   retryAfterMs (units: number, nowMs: number): number {
     this._advance(nowMs)
-    const ownRatePerS = this._ratePerS * Math.min(1, this._ownDemandPerS / Math.max(Number.MIN_VALUE, this.demandPerS))
+    const ownDemandPerS = Math.max(this._ownDemandPerS, units * MS_PER_SECOND / QUOTA_DEMAND_SMOOTH_MS)
+    const ownRatePerS = this._ratePerS * ownDemandPerS / Math.max(ownDemandPerS, this.demandPerS)
     const overdraftMs = Math.max(0, -this._level) * MS_PER_SECOND / this._ratePerS
     const coveredMs = Math.max(nowMs + overdraftMs, this._promisedUntilMs) + units * MS_PER_SECOND / ownRatePerS
     this._promisedUntilMs = Math.min(nowMs + this._windowMs, coveredMs)
@@ -168,10 +173,10 @@
   report (account: string, scope: QuotaScope, nowMs: number): AccountUse | undefined {
     this._advance(nowMs)
     const demandPerS = scope === QuotaScope.Host ? this._ownDemandPerS : scope === QuotaScope.Zone ? this._zoneDemandPerS : this.demandPerS
-    if (this._isIdle(demandPerS)) return undefined
+    if (this._isIdle(demandPerS) && this._isIdle(this._recent)) return undefined
     const used = scope === QuotaScope.Host ? this._used : scope === QuotaScope.Zone ? this._zoneUsed : 0
     const isCounting = nowMs - this._startedMs >= QUOTA_LEVEL_AGE_MS && !this._followsFleet
-    return { account, used, demandPerS, ...(isCounting ? { level: this._level / this._depth } : {}) }
+    return { account, used, demandPerS, recent: this._recent, ...(isCounting ? { level: this._level / this._depth } : {}) }
   }
 
   /**
@@ -247,7 +252,10 @@
     this._openMs += openMs
     const usedByOthers = this._othersDemandPerS * openMs / MS_PER_SECOND
     this._level = this._bounded(this._level + this._ratePerS * ms / MS_PER_SECOND - usedByOthers)
-    this._ownDemandPerS *= Math.exp(-ms / QUOTA_DEMAND_SMOOTH_MS)
+    const decay = Math.exp(-ms / QUOTA_DEMAND_SMOOTH_MS)
+    this._ownDemandPerS = (this._ownDemandPerS + this._latest * ms * MS_PER_SECOND / QUOTA_DEMAND_SMOOTH_MS ** 2) * decay
+    this._latest *= decay
+    this._recent *= Math.exp(-ms / QUOTA_RECENT_MS)
   }
 
   private _bounded (level: number): number {
@@ -255,12 +263,11 @@
     return Math.min(this._depth, Math.max(lowest, level))
   }
 
-  /** Counts what a source has used since its last report. After a long silence, only what its demand shows to be recent counts. */
+  /** Counts what a source has used since its last report. After a long silence, only what is recent counts. */
   private _count (scope: QuotaScope, before: ReportedUse | undefined, use: AccountUse, nowMs: number): void {
-    const recent = RECENT_DEMANDS * use.demandPerS * QUOTA_DEMAND_SMOOTH_MS / MS_PER_SECOND
     const isSilent = before === undefined || isOutdated(before, nowMs)
     const since = use.used - (before?.used ?? 0)
-    const counted = isSilent ? Math.min(since, recent) : since
+    const counted = isSilent ? Math.min(since, use.recent) : since
     const estimated = isSilent ? 0 : before.demandPerS * (this._openMs - before.openMs) / MS_PER_SECOND
     if (scope === QuotaScope.Host) this._zoneUsed += counted
     this._level = this._bounded(this._level + estimated - counted)
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -288,8 +288,11 @@
 /** Time for which a removed endpoint is remembered, in milliseconds; several times the age of a copy that the source is restored from. */
 export const REMOVED_ENDPOINT_MEMORY_MS = 120_000
 
-/** Time over which the demand of an account is averaged, in milliseconds. */
-export const QUOTA_DEMAND_SMOOTH_MS = 500
+/** Time of each of the two decays by which the demand of an account is averaged, in milliseconds. */
+export const QUOTA_DEMAND_SMOOTH_MS = 250
+
+/** Time in which the weight of what callers have asked for lately decays to about a third (1/e), in milliseconds; some reports of a host. */
+export const QUOTA_RECENT_MS = 2_000
 
 /** Time without a report after which a source no longer counts, in milliseconds; some lost digests. */
 export const QUOTA_SOURCE_TTL_MS = 4_500
@@ -307,11 +310,11 @@
 export const QUOTA_MIN_DEPTH_MS = 250
 
 /** Share of the rate, and of the bucket, from which an account is so close to its limit that its use is reported often. */
-export const QUOTA_BUSY_SHARE = 0.7
+export const QUOTA_BUSY_SHARE = 0.8
 export const QUOTA_BUSY_LEVEL = 0.5
 
 /** Share of the rate below which the demand for an account counts as none. */
-export const QUOTA_IDLE_SHARE = 0.001
+export const QUOTA_IDLE_SHARE = 0.00001
 
 /** Versions of the configuration for which a host remembers that it had them in force; more than come while hosts differ. */
 export const MAX_ACCOUNT_VERSIONS = 32
--- a/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
@@ -38,7 +38,7 @@
   expect(decodeHostMessage(encodeHostMessage(MESSAGE))).toEqual(MESSAGE)
 })
 
-const USES: readonly AccountUse[] = [{ account: 'payroll', used: 4_711_000, demandPerS: 400_828.25, level: -0.125 }, { account: 'b', used: 0, demandPerS: 0.5 }]
+const USES: readonly AccountUse[] = [{ account: 'payroll', used: 4_711_000, demandPerS: 400_828.25, recent: 5_100, level: -0.125 }, { account: 'b', used: 0, demandPerS: 0.5, recent: 0 }]
 
 test.each([QuotaScope.Host, QuotaScope.Zone, QuotaScope.Fleet])('the use of quotas is decoded as it was encoded, with scope %s', scope => {
   const message = { ...MESSAGE, quotas: { scope, uses: USES } }
@@ -59,8 +59,11 @@
   expect(decodeHostMessage(withQuotas(quotas))).toEqual(MESSAGE)
 })
 
-test.each([[[1, 2, 3, 4]], [['a', 'b', 0, 0]], [['a', 0, -1, 0]], [['a', 0, Number.NaN, 0]], [['a', 0, 0, Number.POSITIVE_INFINITY]], [['a', 0, 0]], [null]])('malformed use of a quota is ignored: %j', use => {
-  expect(decodeHostMessage(withQuotas([QuotaScope.Host, [use, ['a', 1, 100, null]]]))?.quotas?.uses).toEqual([{ account: 'a', used: 1, demandPerS: 1 }])
+test.each([
+  [[1, 2, 3, 0, 4]], [['a', 'b', 0, 0, 0]], [['a', 0, -1, 0, 0]], [['a', 0, Number.NaN, 0, 0]], [['a', 0, 0, -1, 0]], [['a', 0, 0, 0, Number.POSITIVE_INFINITY]],
+  [['a', 0, 0, 0]], [null]
+])('malformed use of a quota is ignored: %j', use => {
+  expect(decodeHostMessage(withQuotas([QuotaScope.Host, [use, ['a', 1, 100, 2, null]]]))?.quotas?.uses).toEqual([{ account: 'a', used: 1, demandPerS: 1, recent: 2 }])
 })
 
 test('a report of a busy host and a part of a digest fit into one datagram', () => {
@@ -69,7 +72,7 @@
   const digest = { ...MESSAGE, limits: limits(MAX_DIGEST_LIMITS), batches: [], hosts: [], work: { ...MESSAGE.work, scope: WorkScope.Fleet, load } }
   expect(encodeHostMessage(digest).length).toBeLessThan(MTU_BYTES)
   const addresses = Array.from({ length: 195 }, (_, i) => `10.1.${i >> 8}.${i & 0xff}`)
-  const uses = Array.from({ length: MAX_ACCOUNT_USES }, (_, i) => ({ account: `account-of-a-customer-${i}`, used: 40_000_000, demandPerS: 400_000, level: 0.5 }))
+  const uses = Array.from({ length: MAX_ACCOUNT_USES }, (_, i) => ({ account: `account-of-a-customer-${i}`, used: 40_000_000, demandPerS: 400_000, recent: 11_000, level: 0.5 }))
   expect(encodeHostMessage({ ...MESSAGE, limits: limits(MAX_HOST_LIMITS), quotas: { scope: QuotaScope.Host, uses } }).length).toBeLessThan(MTU_BYTES)
   expect(encodeHostMessage({ ...MESSAGE, limits: limits(MAX_HOST_LIMITS), hosts: [{ zone: 'z', addresses, connected: [] }] }).length).toBeLessThan(MTU_BYTES)
 })
--- a/packages/gateway/src/peers/JaymillHostMessage.ts
+++ b/packages/gateway/src/peers/JaymillHostMessage.ts
@@ -108,7 +108,7 @@
 ]
 
 /** The level is `null` when it is not known. */
-type WireUse = readonly [account: string, used: number, demandPerS: number, level: number | null]
+type WireUse = readonly [account: string, used: number, demandPerS: number, recent: number, level: number | null]
 type WireQuotas = readonly [scope: QuotaScope, uses: readonly WireUse[]]
 
 /** `null` for a limit that has been lifted. */
@@ -200,8 +200,8 @@
   ]
 }
 
-function toWireUse ({ account, used, demandPerS, level }: AccountUse): WireUse {
-  return [account, Math.round(used), Math.round(demandPerS * RATE_DECIMALS), level === undefined ? null : Math.round(level * LEVEL_DECIMALS)]
+function toWireUse ({ account, used, demandPerS, recent, level }: AccountUse): WireUse {
+  return [account, Math.round(used), Math.round(demandPerS * RATE_DECIMALS), Math.round(recent), level === undefined ? null : Math.round(level * LEVEL_DECIMALS)]
 }
 
 function isWireQuotas (quotas: unknown): quotas is WireQuotas {
@@ -212,16 +212,16 @@
 
 function isWireUse (use: unknown): use is WireUse {
   if (!Array.isArray(use)) return false
-  const [account, used, demandPerS, level] = use as readonly unknown[]
-  return typeof account === 'string' && Number.isFinite(used) && Number.isFinite(demandPerS) && Number(demandPerS) >= 0 && (level === null || Number.isFinite(level))
+  const [account, used, demandPerS, recent, level] = use as readonly unknown[]
+  return typeof account === 'string' && Number.isFinite(used) && [demandPerS, recent].every(value => Number.isFinite(value) && Number(value) >= 0) && (level === null || Number.isFinite(level))
 }
 
 function toQuotas ([scope, uses]: WireQuotas): ReportedQuotas {
   return { scope, uses: uses.slice(0, MAX_ACCOUNT_USES).filter(isWireUse).map(toUse) }
 }
 
-function toUse ([account, used, demandPerS, level]: WireUse): AccountUse {
-  return { account, used, demandPerS: demandPerS / RATE_DECIMALS, ...(level === null ? {} : { level: level / LEVEL_DECIMALS }) }
+function toUse ([account, used, demandPerS, recent, level]: WireUse): AccountUse {
+  return { account, used, demandPerS: demandPerS / RATE_DECIMALS, recent, ...(level === null ? {} : { level: level / LEVEL_DECIMALS }) }
 }
 
 function isWireLimit (limit: unknown): limit is WireLimit {
--- a/packages/gateway/src/peers/JaymillQuotaReportSchedule.ts
+++ b/packages/gateway/src/peers/JaymillQuotaReportSchedule.ts
@@ -1,18 +1,13 @@
 import { QuotaScope, type AccountQuotas } from '@jaymill/core'
 import { FLEET_DIGEST_INTERVAL_MS, MAX_ACCOUNT_USES, QUOTA_BUSY_INTERVAL_MS, ZONE_DIGEST_INTERVAL_MS } from './constants.js'
 import type { ReportedQuotas } from './JaymillHostMessage.js'
-import { PeriodicTask } from './JaymillPeriodicTask.js'
 
-/**
- * Decides when a relay sends digests of the use of quotas: as often as those of the work, more often while an account is close to its
- * limit, and at once when one gets there.
- */
+const INTERVALS_MS = new Map([[QuotaScope.Zone, ZONE_DIGEST_INTERVAL_MS], [QuotaScope.Fleet, FLEET_DIGEST_INTERVAL_MS]])
+
+/** Decides when a relay sends digests of the use of quotas: as often as those of the work, or more often while an account is close to its limit. */
 export class QuotaReportSchedule {
   private readonly _quotas: AccountQuotas
-  private readonly _zone = new PeriodicTask(ZONE_DIGEST_INTERVAL_MS)
-  private readonly _fleet = new PeriodicTask(FLEET_DIGEST_INTERVAL_MS)
-  private readonly _busy = new PeriodicTask(QUOTA_BUSY_INTERVAL_MS)
-  private _busyAccounts: readonly string[] = []
+  private readonly _sentMs = new Map<QuotaScope, number>()
 
   /**
    * @param quotas - Quotas whose use is reported.
@@ -23,15 +18,15 @@
 
   /**
    * @param nowMs - Monotonic time in milliseconds.
-   * @returns Scopes of the digests to send now.
+   * @returns Scopes of the digests to send now; their intervals start again.
    */
   due (nowMs: number): readonly QuotaScope[] {
-    const busy = this._quotas.busyAccounts(nowMs)
-    const hasNews = busy.some(account => !this._busyAccounts.includes(account))
-    this._busyAccounts = busy
-    const isBusyDue = busy.length > 0 && this._busy.isDue(nowMs)
-    if (hasNews || isBusyDue) return [QuotaScope.Zone, QuotaScope.Fleet]
-    return [...(this._zone.isDue(nowMs) ? [QuotaScope.Zone] : []), ...(this._fleet.isDue(nowMs) ? [QuotaScope.Fleet] : [])]
+    const longestMs = this._quotas.busyAccounts(nowMs).length > 0 ? QUOTA_BUSY_INTERVAL_MS : Number.POSITIVE_INFINITY
+    const scopes = [...INTERVALS_MS]
+      .filter(([scope, ms]) => nowMs - (this._sentMs.get(scope) ?? Number.NEGATIVE_INFINITY) >= Math.min(ms, longestMs))
+      .map(([scope]) => scope)
+    scopes.forEach(scope => this._sentMs.set(scope, nowMs))
+    return scopes
   }
 
   /**
--- a/packages/gateway/src/peers/constants.ts
+++ b/packages/gateway/src/peers/constants.ts
@@ -29,7 +29,7 @@
 export const MAX_ACCOUNT_USES = 16
 
 /** Interval between the digests of quotas while an account is close to its limit, in milliseconds. */
-export const QUOTA_BUSY_INTERVAL_MS = 500
+export const QUOTA_BUSY_INTERVAL_MS = 600
 
 /** Age of the last digest of the fleet from which a host counts as out of touch with the others, in milliseconds. */
 export const FLEET_DIGEST_TIMEOUT_MS = 4_500
