--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
   CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, RequestError, sampleEndpoints, sampleSize,
-  type Candidate, type EndpointRanking, type EndpointRecord, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
+  type Candidate, type EndpointRanking, type EndpointRecord, type ExpectedWork, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { checkAccount } from '../callers/JaymillCallerAccount.js'
@@ -9,7 +9,7 @@
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
 import type { CallMetadata } from '../ports/JaymillWireDialect.js'
-import { PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
+import { EXPECTED_SAMPLED_ENDPOINTS, PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
 import { chargeRetry, recordRetry, type RetriedCall } from './JaymillRetryRecord.js'
 
@@ -126,7 +126,7 @@
 
   private _takeEndpoint (request: GatewayRequest, triedIds: readonly string[]): EndpointRecord | undefined {
     const { admission } = this._context
-    const [endpoint] = this._rankPlain(request, this._untried(request, triedIds).filter(record => admission.allows(record)))
+    const [endpoint] = this._rankExpected(request, this._untried(request, triedIds).filter(record => admission.allows(record)), 0)
     if (endpoint !== undefined) admission.sent(endpoint)
     return endpoint
   }
@@ -141,35 +141,49 @@
   }
 
   /**
-   * Ranks endpoints of a plain service, best first. While the work of other hosts is known late, endpoints that report their load
+   * Ranks endpoints whose calls are short, best first. While the work of other hosts is known late, endpoints that report their load
    * are compared by the work that is to be expected there now.
    */
-  private _rankPlain (request: GatewayRequest, records: readonly EndpointRecord[]): readonly EndpointRecord[] {
-    const { zone, random, loadAgeMs, clock, log } = this._context
-    const known = records.map(record => this._knownWork(record))
-    if (loadAgeMs() === 0 || known.every(({ seen }) => seen === undefined)) return this._rank(request, records, 0)
+  protected _rankExpected (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
+    const { zone, random, loadAgeMs, reliability, reportedLoads, clock } = this._context
+    if (loadAgeMs() === 0 || records.every(({ id }) => reportedLoads.at(id) === undefined)) return this._rank(request, records, tokens)
     const nowMs = clock.nowMs()
+    const suspects = records.filter(({ id }) => reliability.isSuspect(id, nowMs))
+    const { sampled, rest } = sampleEndpoints(records.filter(record => !suspects.includes(record)), zone, EXPECTED_SAMPLED_ENDPOINTS, random)
+    const known = sampled.map(record => this._knownWork(record))
     const expected = this._forecast.expect(known, nowMs, random)
-    const candidates = this._candidates(records, 0).map((candidate, i) => {
+    const tokensPerRequest = this._tokensPerRequest(records, tokens)
+    const candidates = this._candidates(sampled, tokens).map((candidate, i) => {
       const { requests, slowness } = expected[i] ?? { requests: candidate.work.requests, slowness: 1 }
-      return { ...candidate, expectedMs: slowness * this._expectedMs(candidate.record, { requests, tokens: 0 }, 0) }
+      return { ...candidate, expectedMs: slowness * this._expectedMs(candidate.record, { requests, tokens: requests * tokensPerRequest }, tokens) }
     })
     const ranked = this._ranking.rank(candidates, zone, random)
     const best = candidates.findIndex(({ record }) => record === ranked[0])
-    const seen = known[best]?.seen
-    log.request(request.id, 'endpoint chosen', {
-      endpoint: ranked[0]?.id,
-      of: records.length,
-      expectedMs: Math.round(candidates[best]?.expectedMs ?? 0),
-      expectedRequests: Math.round(expected[best]?.requests ?? 0),
-      own: known[best]?.own,
-      others: known[best]?.others,
+    this._logChoice(request, candidates[best], known[best], expected[best])
+    return [...ranked, ...rest, ...suspects]
+  }
+
+  private _tokensPerRequest (records: readonly EndpointRecord[], tokens: number): number {
+    const work = records.map(({ id }) => this._context.load.at(id))
+    const requests = work.reduce((sum, { requests }) => sum + requests, 0)
+    return requests === 0 ? tokens : work.reduce((sum, { tokens }) => sum + tokens, 0) / requests
+  }
+
+  private _logChoice ({ id }: GatewayRequest, candidate: Candidate | undefined, known: KnownWork | undefined, expected: ExpectedWork | undefined): void {
+    const { loadAgeMs, clock, log } = this._context
+    if (candidate === undefined || known === undefined) return
+    const { own, others, seen } = known
+    log.request(id, 'endpoint chosen', {
+      endpoint: candidate.record.id,
+      expectedMs: Math.round(candidate.expectedMs),
+      expectedRequests: Math.round(expected?.requests ?? 0),
+      own,
+      others,
       othersAgeMs: loadAgeMs(),
       seenOthers: seen?.others,
       seenSlowness: seen?.slowness,
-      seenAgeMs: seen === undefined ? undefined : Math.round(nowMs - seen.atMs)
+      seenAgeMs: seen === undefined ? undefined : Math.round(clock.nowMs() - seen.atMs)
     })
-    return ranked
   }
 
   protected _knownWork ({ id }: EndpointRecord): KnownWork {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -515,8 +515,8 @@
   private _rankedEngines (request: GatewayRequest, role: EngineRole, { avoidedIds, busyIds }: PromptProgress): readonly EndpointRecord[] {
     const pool = this._pool(request, role).filter(({ id }) => !busyIds.has(id))
     const preferred = pool.filter(({ id }) => !avoidedIds.has(id))
-    const tokens = role === EngineRole.Prefill ? promptTokensOf(request) : kvTokensOf(request)
-    return this._rank(request, preferred.length > 0 ? preferred : pool, tokens)
+    const records = preferred.length > 0 ? preferred : pool
+    return role === EngineRole.Prefill ? this._rankExpected(request, records, promptTokensOf(request)) : this._rank(request, records, kvTokensOf(request))
   }
 
   private _pool (request: GatewayRequest, role: EngineRole): readonly EndpointRecord[] {
