--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,9 +1,8 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  AssignedRateShare, Clock, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads, RouteKind, ServiceLatencyModel, type DirectoryChange,
-  type EndpointRecord, type RateShare
+  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
+  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads, RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
@@ -11,6 +10,7 @@
 import { Ingress } from './callers/JaymillIngress.js'
 import { listenOn } from './callers/JaymillListener.js'
 import type { PlannedStop } from './callers/JaymillPlannedStop.js'
+import { QuotaGate } from './callers/JaymillQuotaGate.js'
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { ExchangeFailure } from './endpoints/JaymillExchangeError.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
@@ -71,6 +71,7 @@
   private readonly _state: FleetState
   private readonly _follower: FleetFollower
   private readonly _heartbeats: HostHeartbeats
+  private readonly _quotas: AccountQuotas
   private readonly _forwardingContext: ForwardingContext
   private readonly _ingress: Ingress
   private readonly _roleController: RoleController
@@ -88,9 +89,18 @@
     this._settings = settings
     this._adapters = adapters
     const { clock, random, log, source } = adapters
-    const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
+    const work = {
+      load: new EndpointLoad(),
+      directPrefills: new EndpointLoad(),
+      latencyModel: new ServiceLatencyModel(),
+      demand: new PromptDemand(),
+      roleChanges: new PendingRoleChanges()
+    }
     const quarantine = new CrashQuarantine()
     const limits = new EndpointRateLimits()
+    const { quotaWindowSeconds, quotaOverage } = settings.bounds
+    const quotas = new AccountQuotas(new CountedQuotaShare(quotaOverage), quotaWindowSeconds * MS_PER_SECOND)
+    this._quotas = quotas
     this._state = new FleetState(clock, log)
     const { host: { id, zone, address }, listen, bounds } = settings
     const timing = sourceTiming(bounds.configurationMs)
@@ -110,6 +120,7 @@
       onEvidence: () => this._forwardingContext.crashes.evidenceChanged(),
       limits,
       onLimits: news => this._forwardingContext.admission.reported(news),
+      quotas,
       connected,
       clock,
       log
@@ -126,7 +137,10 @@
     const signal = this._abort.signal
     setMaxListeners(MAX_ABORT_LISTENERS, signal)
     log.stateChange('started', { zone: host.zone, address: host.address, pid: process.pid })
-    this._state.onConfig(config => this._ingress.applyLimits(config), signal)
+    this._state.onConfig(config => {
+      this._ingress.applyLimits(config)
+      this._quotas.configure(config.accounts ?? [], clock.nowMs())
+    }, signal)
     this._state.onDirectory(change => this._directoryChanged(change), signal)
     this._state.onUpdate(origin => this._heartbeats.stateUpdated(origin), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('source follower failed', { reason: err.message }))
@@ -184,7 +198,7 @@
     this._abort.abort()
   }
 
-  private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
+  private _createForwardingContext ({ load, directPrefills, latencyModel, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, random, log, signal: this._abort.signal })
@@ -219,9 +233,10 @@
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
       peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
+      quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reportedLoads: new ReportedLoads(),
       reliability: new EndpointReliability(),
-      latencyModel: new ServiceLatencyModel(),
+      latencyModel,
       budget,
       hostCount,
       plannedStop: () => this._plannedStop,
@@ -292,7 +307,8 @@
       configVersion: () => this._state.version,
       hosts: () => this._heartbeats.livePeers.length + 1,
       quarantined: () => this._forwardingContext.crashes.quarantinedCount,
-      outOfReach: () => this._forwardingContext.reachability.lostCount
+      outOfReach: () => this._forwardingContext.reachability.lostCount,
+      accountsNearLimit: () => this._quotas.busyAccounts(this._adapters.clock.nowMs()).length
     })
   }
 
--- a/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
@@ -26,6 +26,7 @@
     part: 0,
     parts: 1,
     load: [{ endpointId: 'i-559cb29810', requests: 2, tokens: 11_745 }],
+    factors: [{ endpointId: 'i-559cb29810', calls: 2.1, factors: 3.4 }],
     directPrefills: [{ endpointId: 'i-465fa000e6', requests: 1, tokens: 5_200 }],
     demand: [{ service: 'xara81a', promptRate: 42.71, kvRate: 78.5, waitingTokens: 9_000 }],
     changing: ['i-b24fb240ce']
