Decode engines by the speed that they report; prefill engines of services whose engines report load

Cause: decode engines of a service differ in speed, and the load header tells it; they were ranked by KV cache alone. Prefill responses carry no load header, so the ranking by expected work never applied to prefill engines.

Change: in a large fleet the reported duration of work counts as a factor of a decode engine, which hosts share; the KV cache in use at an engine costs by its factor, so a slow one gets less, not nothing. A service counts as reporting its load when any of its endpoints does.

Tests run: core gateway and JaymillStreams, 255 of 255.

--- a/packages/core/src/gateway/JaymillServiceLatencyModel.ts
+++ b/packages/core/src/gateway/JaymillServiceLatencyModel.ts
@@ -51,10 +51,20 @@
   addMeasurement ({ group, endpointId }: LatencyKey, units: number, ms: number, nowMs: number): void {
     const expectedMs = this._groups.expectedMs(group, units, 0)
     this._groups.addMeasurement(group, units, ms)
-    if (expectedMs <= 0) return
+    if (expectedMs > 0) this.addFactor(endpointId, ms / expectedMs, nowMs)
+  }
+
+  /**
+   * Adds what an endpoint has reported about its speed.
+   *
+   * @param endpointId - The endpoint.
+   * @param factor - Duration of its work relative to that of similar endpoints.
+   * @param nowMs - Monotonic time in milliseconds.
+   */
+  addFactor (endpointId: string, factor: number, nowMs: number): void {
     const { calls, factors } = this._decayed(endpointId, nowMs)
-    const factor = Math.min(LATENCY_FACTOR_MAX, Math.max(LATENCY_FACTOR_MIN, ms / expectedMs))
-    this._factors.set(endpointId, { calls: calls + 1, factors: factors + factor, atMs: nowMs })
+    const bounded = Math.min(LATENCY_FACTOR_MAX, Math.max(LATENCY_FACTOR_MIN, factor))
+    this._factors.set(endpointId, { calls: calls + 1, factors: factors + bounded, atMs: nowMs })
   }
 
   /**
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
+  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges,
   PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads, RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
@@ -295,9 +295,12 @@
     this._forwardingContext.reportedLoads.forget(record.id)
   }
 
-  private _loadReported ({ id }: EndpointRecord, { load: reported }: ResponseMetadata): void {
-    const { reportedLoads, load, clock } = this._forwardingContext
-    if (reported !== undefined) reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
+  /** Decode engines of a large fleet are too many for a host to measure their speed, so the one that they report is shared. */
+  private _loadReported ({ id, stage }: EndpointRecord, { load: reported }: ResponseMetadata): void {
+    const { reportedLoads, latencyModel, load, loadAgeMs, clock } = this._forwardingContext
+    if (reported === undefined) return
+    reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
+    if (stage === EngineRole.Decode && loadAgeMs() > 0) latencyModel.addFactor(id, reported.slowness, clock.nowMs())
   }
 
   private _watchMetrics (): void {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -145,8 +145,8 @@
    * are compared by the work that is to be expected there now.
    */
   protected _rankExpected (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
-    const { zone, random, loadAgeMs, reliability, reportedLoads, clock } = this._context
-    if (loadAgeMs() === 0 || records.every(({ id }) => reportedLoads.at(id) === undefined)) return this._rank(request, records, tokens)
+    const { zone, random, reliability, clock } = this._context
+    if (!this._expectsWork(request)) return this._rank(request, records, tokens)
     const nowMs = clock.nowMs()
     const suspects = records.filter(({ id }) => reliability.isSuspect(id, nowMs))
     const { sampled, rest } = sampleEndpoints(records.filter(record => !suspects.includes(record)), zone, EXPECTED_SAMPLED_ENDPOINTS, random)
@@ -163,6 +163,11 @@
     return [...ranked, ...rest, ...suspects]
   }
 
+  private _expectsWork ({ service }: GatewayRequest): boolean {
+    const { loadAgeMs, reportedLoads, state } = this._context
+    return loadAgeMs() > 0 && state.directory.usable(service.name).some(({ id }) => reportedLoads.at(id) !== undefined)
+  }
+
   private _tokensPerRequest (records: readonly EndpointRecord[], tokens: number): number {
     const work = records.map(({ id }) => this._context.load.at(id))
     const requests = work.reduce((sum, { requests }) => sum + requests, 0)
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -504,11 +504,12 @@
   }
 
   protected override _expectedMs ({ id, service, stage }: EndpointRecord, work: OutstandingWork, tokens: number): number {
-    const { latencyModel, clock } = this._context
+    const { latencyModel, loadAgeMs, clock } = this._context
     if (stage === EngineRole.Prefill) {
       return latencyModel.expectedMs({ group: prefillGroup(service), endpointId: id }, work.tokens + tokens, PREFILL_INITIAL_TOKEN_MS, clock.nowMs())
     }
-    return (work.tokens + tokens) * DECODE_TOKEN_MS
+    const slowness = loadAgeMs() > 0 ? latencyModel.factor(id, clock.nowMs()) : 1
+    return (work.tokens + tokens) * DECODE_TOKEN_MS * slowness
   }
 
   /** Returns the engines that don't work on the request already, best first. */
