--- a/packages/core/src/__tests__/unit/gateway/JaymillWorkForecast.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillWorkForecast.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import {
-  ExpectedTimeRanking, LateReportForecast, ReportedLoads, sampleEndpoints, SeededRandom, UnchangedWorkForecast, type EndpointRecord, type KnownWork, type WorkForecast
+  earliestAnswerMs, ExpectedTimeRanking, LateReportForecast, ReportedLoads, sampleEndpoints, SeededRandom, UnchangedWorkForecast, type EndpointRecord, type KnownWork, type WorkForecast
 } from '../../../index.js'
 
 const ZONES = ['a', 'b', 'c', 'd']
@@ -153,3 +153,10 @@
   expect(Number.isFinite(work?.requests)).toBe(true)
   expect(work?.slowness).toBeGreaterThan(0)
 })
+
+test('the earliest answer is known only from a load that the endpoint has reported lately', () => {
+  const seen = { others: 58, slowness: 1, atMs: 1_000 }
+  expect(earliestAnswerMs({ own: 2, others: 0, seen }, SLOTS, 40, 1_100)).toBe(300)
+  expect(earliestAnswerMs({ own: 2, others: 500, seen }, SLOTS, 40, 1_501)).toBe(0)
+  expect(earliestAnswerMs({ own: 2, others: 500 }, SLOTS, 40, 1_100)).toBe(0)
+})
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, RequestError, sampleEndpoints, sampleSize,
+  CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, REPORTED_LOAD_MEMORY_MS, RequestError, sampleEndpoints, sampleSize,
   type Candidate, type EndpointRanking, type EndpointRecord, type ExpectedWork, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -175,9 +175,11 @@
   }
 
   private _logChoice ({ id }: GatewayRequest, candidate: Candidate | undefined, known: KnownWork | undefined, expected: ExpectedWork | undefined): void {
-    const { loadAgeMs, clock, log } = this._context
+    const { loadAgeMs, clock, log, metrics } = this._context
     if (candidate === undefined || known === undefined) return
     const { own, others, seen } = known
+    const seenAgeMs = seen === undefined ? undefined : clock.nowMs() - seen.atMs
+    metrics.recordChoice(seenAgeMs !== undefined && seenAgeMs < REPORTED_LOAD_MEMORY_MS)
     log.request(id, 'endpoint chosen', {
       endpoint: candidate.record.id,
       expectedMs: Math.round(candidate.expectedMs),
@@ -187,7 +189,7 @@
       othersAgeMs: loadAgeMs(),
       seenOthers: seen?.others,
       seenSlowness: seen?.slowness,
-      seenAgeMs: seen === undefined ? undefined : Math.round(clock.nowMs() - seen.atMs)
+      seenAgeMs: seenAgeMs === undefined ? undefined : Math.round(seenAgeMs)
     })
   }
 
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -24,6 +24,7 @@
   private readonly _responses: Counter
   private readonly _refusals: Counter
   private readonly _calls: Counter
+  private readonly _choices: Counter
   private readonly _forwarded: Counter
   private readonly _retries: Counter
   private readonly _quotaUnits: Counter
@@ -35,6 +36,7 @@
     this._responses = new Counter({ name: 'jaymill_answers_total', help: 'Answers of endpoints passed on.', labelNames: ['kind', 'status'], registers })
     this._refusals = new Counter({ name: 'jaymill_refusals_total', help: 'Requests answered by the host itself.', labelNames: ['kind'], registers })
     this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
+    this._choices = new Counter({ name: 'jaymill_expected_work_choices_total', help: 'Endpoints chosen by expected work, by what it is known from.', labelNames: ['known'], registers })
     this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
     this._retries = new Counter({ name: 'jaymill_retries_total', help: 'Retries charged to the budget, or refused by it.', labelNames: ['call', 'outcome'], registers })
     this._quotaUnits = new Counter({ name: 'jaymill_quota_units_total', help: 'Units of quotas that callers asked for.', labelNames: ['outcome'], registers })
@@ -101,6 +103,15 @@
     this._calls.inc({ call, outcome })
   }
 
+  /**
+   * Records an endpoint that was chosen by the work that is expected there.
+   *
+   * @param reported - Whether the endpoint itself has reported its load lately; only other hosts otherwise.
+   */
+  recordChoice (reported: boolean): void {
+    this._choices.inc({ known: reported ? 'endpoint' : 'hosts' })
+  }
+
   /**
    * Records a request that was sent to another host.
    *
