--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,8 +1,9 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads, RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
+  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits,
+  EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges, PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads,
+  RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
@@ -233,8 +234,8 @@
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
       peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
-      quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reportedLoads: new ReportedLoads(),
+      quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reliability: new EndpointReliability(),
       latencyModel,
       budget,
