--- a/packages/gateway/src/forwarding/JaymillPrefillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPrefillForwarder.ts
@@ -138,19 +138,20 @@
   }
 
   protected override _expectedMs ({ id, service, stage }: EndpointRecord, work: OutstandingWork, tokens: number): number {
-    const { latencyModel, clock } = this._context
+    const { latencyModel, loadAgeMs, clock } = this._context
     if (stage === EngineRole.Prefill) {
       return latencyModel.expectedMs({ group: prefillGroup(service), endpointId: id }, work.tokens + tokens, PREFILL_INITIAL_TOKEN_MS, clock.nowMs())
     }
-    return (work.tokens + tokens) * DECODE_TOKEN_MS
+    const slowness = loadAgeMs() > 0 ? latencyModel.factor(id, clock.nowMs()) : 1
+    return (work.tokens + tokens) * DECODE_TOKEN_MS * slowness
   }
 
   /** Returns the engines that don't work on the request already, best first. */
   protected _rankedEngines (request: GatewayRequest, role: EngineRole, { avoidedIds, busyIds }: PromptProgress): readonly EndpointRecord[] {
     const pool = this._pool(request, role).filter(({ id }) => !busyIds.has(id))
     const preferred = pool.filter(({ id }) => !avoidedIds.has(id))
-    const tokens = role === EngineRole.Prefill ? promptTokensOf(request) : kvTokensOf(request)
-    return this._rank(request, preferred.length > 0 ? preferred : pool, tokens)
+    const records = preferred.length > 0 ? preferred : pool
+    return role === EngineRole.Prefill ? this._rankExpected(request, records, promptTokensOf(request)) : this._rank(request, records, kvTokensOf(request))
   }
 
   protected _pool (request: GatewayRequest, role: EngineRole): readonly EndpointRecord[] {
