Bound what a host holds by the memory and the descriptors of its process

Cause: bodies were collected as lists of buffers, without a common limit; a buffer of a small chunk takes many times its size, and the garbage collector leaves 64 MiB of unused buffers. Responses that are not read, connections and pipelined requests had no limit either.

Ruled out: waiting alone (each connection that waits holds what the system receives for it); equal parts without a common budget (60 connections, or one large body); growing a buffer by copies (its former memory stays until it is collected); the collector's own pace.

A budget in core counts bodies, headers that have not arrived as a whole, and unread responses, by connection. Each connection has a small part of its own. While little is left, larger unfinished bodies wait unread; then the largest are refused with 503 and Retry-After, or closed. A request that has arrived as a whole is not refused. A body lives once, in memory that grows in place and goes back at its end; its fingerprint is taken of the bytes. Buffers that are no longer used are freed above a quarter of the budget (--expose-gc). Callers may use two fifths of the sockets, other hosts a fifth, requests in progress a fifth; the longest idle connection makes room for a new one. A refusal of a body that still arrives is followed by the end of the connection after 100 ms, so that the caller can read it. Metrics: held bytes, waiting and open connections, closed connections by reason.

--- /dev/null
+++ b/packages/core/src/__tests__/unit/gateway/JaymillConnectionLimit.test.ts
@@ -0,0 +1,36 @@
+import { expect, test } from 'vitest'
+import { ConnectionLimit } from '../../../gateway/JaymillConnectionLimit.js'
+import { hostCapacity } from '../../../gateway/JaymillHostCapacity.js'
+
+// Load: very many connections that send nothing.
+test('the connection that is idle for longest makes room for a new one', () => {
+  const limit = new ConnectionLimit<string>(2)
+  expect([limit.open('a'), limit.open('b')]).toEqual([undefined, undefined])
+  limit.busy('a')
+  limit.idle('a')
+  expect(limit.open('c')).toBe('b')
+  expect(limit.count).toBe(2)
+})
+
+// Load: requests on as many connections as the limit allows.
+test('a new connection is closed when none is idle', () => {
+  const limit = new ConnectionLimit<string>(1)
+  limit.open('a')
+  limit.busy('a')
+  expect(limit.open('b')).toBe('b')
+  limit.close('a')
+  expect(limit.open('c')).toBeUndefined()
+})
+
+test('the connections of callers and hosts and the calls of requests leave descriptors free', () => {
+  const { callerConnections, peerConnections, requests } = hostCapacity({ sockets: 1_000 }, 0)
+  expect(callerConnections + peerConnections + requests).toBeLessThanOrEqual(800)
+})
+
+test('without limits of the process nothing is limited', () => {
+  expect(hostCapacity({}, 4_194_304)).toEqual({ callerConnections: Infinity, peerConnections: Infinity, requests: Infinity })
+})
+
+test.each([178_000_000, 20_000_000])('a body of the maximum size has room in %d bytes of memory', memoryBytes => {
+  expect(hostCapacity({ memoryBytes }, 16_777_216).bytes?.maxBytes).toBeGreaterThan(16_777_216 / 0.75)
+})
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -4,7 +4,7 @@
   AssignedRateShare, Clock, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
   PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange, type RateShare
 } from '@jaymill/core'
-import type { GatewaySettings } from '@jaymill/settings'
+import { processLimits, type GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
 import type { GatewayRequest } from './callers/JaymillGatewayRequest.js'
 import { Ingress } from './callers/JaymillIngress.js'
@@ -115,7 +115,7 @@
     })
     this._forwardingContext = this._createForwardingContext(work, quarantine, limits)
     this._roleController = new RoleController({ ...this._forwardingContext, hostId: id, isLeader: () => this._heartbeats.isLeader })
-    this._ingress = new Ingress(this._forwardingContext, this._forwarderSelector())
+    this._ingress = new Ingress(this._forwardingContext, this._forwarderSelector(), processLimits(settings))
   }
 
   /** Starts every listener. The host becomes ready as soon as it has a configuration and the endpoints. */
@@ -282,7 +282,10 @@
       configVersion: () => this._state.version,
       hosts: () => this._heartbeats.livePeers.length + 1,
       quarantined: () => this._forwardingContext.crashes.quarantinedCount,
-      outOfReach: () => this._forwardingContext.reachability.lostCount
+      outOfReach: () => this._forwardingContext.reachability.lostCount,
+      heldBytes: () => this._ingress.heldBytes,
+      waitingConnections: () => this._ingress.waitingConnections,
+      callerConnections: () => this._ingress.callerConnections
     })
   }
 
--- /dev/null
+++ b/packages/gateway/src/callers/JaymillBodyReader.ts
@@ -0,0 +1,56 @@
+import type { IncomingMessage } from 'node:http'
+import { ErrorKind, RequestError } from '@jaymill/core'
+import { BodyBuffer } from './JaymillBodyBuffer.js'
+import type { ConnectionMemory } from './JaymillConnectionMemory.js'
+
+/** How a body is read. */
+export interface BodyReaderOptions {
+  /** Maximum size of the body, in bytes. */
+  readonly maxBytes: number
+  /** Counts the body. */
+  readonly memory: ConnectionMemory
+  readonly signal: AbortSignal
+  /** Creates the error of a body that has not arrived before the abort. */
+  readonly aborted: () => RequestError
+}
+
+/**
+ * Reads the body of a request. After a failure nothing more of it is read.
+ *
+ * @param req - The request.
+ * @param options - How its body is read.
+ * @returns The body, which counts as complete and must be released; `null` for a request without one.
+ * @throws RequestError of kind `TooLarge`, or `Overloaded` when the host has no memory for it, or that of `aborted`.
+ */
+export async function readBody (req: IncomingMessage, { maxBytes, memory, signal, aborted }: BodyReaderOptions): Promise<BodyBuffer | null> {
+  const announced = req.headers['content-length']
+  if (announced === undefined && req.headers['transfer-encoding'] === undefined) return null
+  const tooLarge = (): RequestError => new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
+  if (Number(announced ?? 0) > maxBytes) throw tooLarge()
+  if (signal.aborted) throw aborted()
+  const body = new BodyBuffer(announced === undefined ? maxBytes : Number(announced))
+  const settled = new AbortController()
+  try {
+    await new Promise<void>((resolve, reject) => {
+      signal.addEventListener('abort', () => reject(aborted()), { once: true, signal: settled.signal })
+      memory.arrival = { pause: () => req.pause(), resume: () => req.resume(), refuse: reject }
+      const onData = (part: Buffer): void => {
+        if (settled.signal.aborted) return
+        if (body.size + part.length > maxBytes) reject(tooLarge())
+        else memory.addBody(body.append(part))
+      }
+      req.on('data', onData).once('end', resolve).once('error', () => reject(aborted()))
+      settled.signal.addEventListener('abort', () => { req.off('data', onData).off('end', resolve) })
+    })
+    memory.completeBody(body.capacity)
+    return body
+  } catch (err) {
+    req.pause()
+    memory.dropBody(body.capacity)
+    body.release()
+    throw err
+  } finally {
+    memory.arrival = undefined
+    settled.abort()
+  }
+}
--- a/packages/gateway/src/callers/JaymillCallerConnection.ts
+++ b/packages/gateway/src/callers/JaymillCallerConnection.ts
@@ -1,5 +1,12 @@
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { ConnectionMemory } from './JaymillConnectionMemory.js'
+
+/** Told whether a connection has requests in progress. */
+export interface ConnectionUse {
+  readonly busy: () => void
+  readonly idle: () => void
+}
 
 /**
  * One connection of a caller, with its responses in progress in the order of their requests: a caller may send further requests
@@ -7,12 +14,19 @@
  */
 export class CallerConnection {
   private readonly _responses = new Map<ServerResponse, Array<() => void>>()
+  /** What the connection holds in the memory of the host. */
+  readonly memory: ConnectionMemory
+  private readonly _use: ConnectionUse
   private _ended = false
 
   /**
    * @param socket - Socket of the connection.
+   * @param memory - What it holds in the memory of the host.
+   * @param use - Told when requests begin, and when none is left.
    */
-  constructor (socket: Socket) {
+  constructor (socket: Socket, memory: ConnectionMemory, use: ConnectionUse) {
+    this.memory = memory
+    this._use = use
     socket.once('close', () => [...this._responses.keys()].forEach(res => this._remove(res)))
   }
 
@@ -28,6 +42,8 @@
    */
   add (res: ServerResponse): void {
     this._responses.set(res, [])
+    this._use.busy()
+    this.memory.requestBegan()
     res.once('close', () => this._remove(res))
   }
 
@@ -75,6 +91,9 @@
     this._responses.delete(res)
     this._ended ||= endsConnection(res)
     listeners.forEach(listener => listener())
+    if (this._responses.size > 0) return
+    this._use.idle()
+    this.memory.requestsEnded()
   }
 }
 
--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { isCloseDelimited, JaymillError, mayHaveBody, toProblem } from '@jaymill/core'
 import type { BufferedResponse } from '../endpoints/JaymillStreamedResponse.js'
-import { RESET_DELAY_MS } from './constants.js'
+import { REFUSAL_DELAY_MS, RESET_DELAY_MS } from './constants.js'
 import { isForwardedHeader } from './JaymillForwardedRequest.js'
 
 const HOP_BY_HOP_HEADERS = new Set([
@@ -83,7 +83,8 @@
 }
 
 /**
- * Responds with a problem document for a failure of the router.
+ * Responds with a problem document for a failure of the router. The response to a request whose body still arrives ends some time after
+ * its last byte.
  *
  * @param res - Response to the caller; destroyed when its head has already been sent.
  * @param requestId - Id of the request.
@@ -97,5 +98,10 @@
   const body = JSON.stringify(toProblem(err, requestId))
   const retryHeader = err.retryAfterMs === undefined ? {} : { 'Retry-After': (err.retryAfterMs / 1_000).toFixed(3) }
   res.writeHead(err.status, { 'Content-Type': 'application/problem+json', 'Content-Length': Buffer.byteLength(body), ...retryHeader })
-  res.end(body)
+  if (res.req.complete) {
+    res.end(body)
+    return
+  }
+  res.write(body)
+  setTimeout(() => res.end(), REFUSAL_DELAY_MS)
 }
--- a/packages/gateway/src/callers/JaymillGatewayRequest.ts
+++ b/packages/gateway/src/callers/JaymillGatewayRequest.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ClientAccount, GatewayRoute, GatewayService, RunKeys } from '@jaymill/core'
 import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
+import type { UnreadResponse } from './JaymillUnreadResponse.js'
 
 /** Why a request was aborted before its response was complete. */
 export enum AbortReason {
@@ -27,6 +28,8 @@
   /** Version of the configuration that applies to the request. */
   readonly version: number
   readonly body: Buffer | null
+  /** Counts what the host holds of the response. */
+  readonly unread: UnreadResponse
   /** Whether another host has forwarded it, because it reaches no endpoint of the service. */
   readonly fromPeer: boolean
   /** Monotonic time at which the request header was received, in milliseconds. */
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -1,19 +1,25 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { chooseTarget, ErrorKind, JaymillError, RequestError, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
+import {
+  chooseTarget, ErrorKind, hostCapacity, JaymillError, RequestError, type GatewayConfig, type GatewayRoute, type GatewayService, type HostCapacity, type ProcessLimits
+} from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
-import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
-import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
-import { CallerConnection } from './JaymillCallerConnection.js'
+import { CONNECTION_CHECK_MS, MEMORY_CHECK_MS, MEMORY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
+import type { BodyBuffer } from './JaymillBodyBuffer.js'
+import { readBody } from './JaymillBodyReader.js'
+import type { CallerConnection } from './JaymillCallerConnection.js'
+import { CallerConnections } from './JaymillCallerConnections.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { checkHostHeader } from './JaymillHostHeader.js'
+import { HostMemory } from './JaymillHostMemory.js'
 import { listenOn } from './JaymillListener.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
 import { refuseUnreadable } from './JaymillUnreadableRequest.js'
+import { UnreadResponse } from './JaymillUnreadResponse.js'
 
 /** Selects the forwarder for a request. */
 export type ForwarderSelector = (request: GatewayRequest) => Forwarder
@@ -44,18 +50,28 @@
   private readonly _server: Server
   private readonly _peerServer: Server
   private readonly _running = new Set<RunningRequest>()
-  private readonly _connections = new WeakMap<Socket, CallerConnection>()
+  private readonly _limits: ProcessLimits
+  private readonly _memory: HostMemory
+  private readonly _callers: CallerConnections
+  private readonly _peers: CallerConnections
+  private _capacity: HostCapacity
 
   /**
    * @param context - Components of the host.
    * @param selectForwarder - Selects the forwarder for a request.
+   * @param limits - Limits of the process.
    */
-  constructor (context: ForwardingContext, selectForwarder: ForwarderSelector) {
+  constructor (context: ForwardingContext, selectForwarder: ForwarderSelector, limits: ProcessLimits) {
     this._context = context
     this._selectForwarder = selectForwarder
     const options = { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, requestTimeout: 0 }
-    const serverFor = (fromPeer: boolean): Server => createServer(options, (req, res) => { this._serve(req, res, fromPeer).catch(err => this._drop(req, res, err)) })
-      .on('clientError', (err, socket) => this._connectionOf(socket as Socket).endUnreadable(responding => refuseUnreadable(err, socket, responding)))
+    this._limits = limits
+    this._capacity = hostCapacity(limits, 0)
+    this._memory = new HostMemory(context, this._capacity.bytes)
+    this._callers = new CallerConnections(this._memory, context.metrics, this._capacity.callerConnections)
+    this._peers = new CallerConnections(this._memory, context.metrics, this._capacity.peerConnections)
+    const serverFor = (fromPeer: boolean): Server => this._connectionsOf(fromPeer).watch(createServer(options, (req, res) => { this._serve(req, res, fromPeer).catch(err => this._drop(req, res, err)) }))
+      .on('clientError', (err, socket) => this._connectionsOf(fromPeer).of(socket as Socket).endUnreadable(responding => refuseUnreadable(err, socket, responding)))
     this._server = serverFor(false)
     this._peerServer = serverFor(true)
   }
@@ -65,6 +81,21 @@
     return this._running.size
   }
 
+  /** Bytes of requests and responses in memory. */
+  get heldBytes (): number {
+    return this._memory.heldBytes
+  }
+
+  /** Number of connections whose body is not read for now. */
+  get waitingConnections (): number {
+    return this._memory.waitingCount
+  }
+
+  /** Number of open connections of callers. */
+  get callerConnections (): number {
+    return this._callers.count
+  }
+
   /**
    * Starts to listen.
    *
@@ -74,6 +105,8 @@
    */
   async start (listen: SocketAddress, peers: SocketAddress | undefined, signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this._running.forEach(({ res }) => abortResponse(res, 0)), { once: true })
+    const timer = setInterval(() => this._memory.tick(), MEMORY_CHECK_MS)
+    signal.addEventListener('abort', () => clearInterval(timer), { once: true })
     await listenOn(this._server, listen, signal)
     if (peers !== undefined) await listenOn(this._peerServer, peers, signal)
   }
@@ -86,6 +119,8 @@
   applyLimits ({ limits }: GatewayConfig): void {
     this._server.headersTimeout = limits.headerTimeoutMs
     this._server.keepAliveTimeout = limits.idleTimeoutMs
+    this._capacity = hostCapacity(this._limits, limits.maxBodyBytes)
+    this._memory.applyLimits(this._capacity.bytes)
   }
 
   /** Gives up the requests in progress at the end of a planned stop. Those whose response has not started get a problem document. */
@@ -98,7 +133,7 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse, fromPeer: boolean): Promise<void> {
-    const connection = this._connectionOf(req.socket)
+    const connection = this._connectionsOf(fromPeer).of(req.socket)
     if (connection.ending) {
       req.resume()
       return
@@ -111,27 +146,30 @@
     connection.add(res)
     connection.onEnd(res, () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) connection.endAfter(res)
+    let body: BodyBuffer | null = null
     try {
       checkHostHeader(req)
+      if (this._running.size > this._capacity.requests) throw new RequestError(ErrorKind.Overloaded, 'too many requests are in progress', { retryAfterMs: MEMORY_RETRY_AFTER_MS })
       const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
-      const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
+      body = await readBody(req, { maxBytes: config.limits.maxBodyBytes, memory: connection.memory, signal, aborted: () => bodyTimeout(signal) })
+      const bytes = body?.bytes ?? null
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
-      const request = { id, req, res, route, service, metadata, priority: route.priority, keys: runKeysOf(req, body, metadata), version, body, fromPeer, arrivedMs, deadlineMs, signal }
+      const request = { id, req, res, route, service, metadata, priority: route.priority, keys: runKeysOf(req, bytes, metadata), version, body: bytes, unread: new UnreadResponse(connection, res), fromPeer, arrivedMs, deadlineMs, signal }
       const forwarder = this._selectForwarder(request)
       forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
       this._refuse(req, res, metadata.requestId, err, arrivedMs)
+    } finally {
+      if (body !== null) releaseBody(connection, body)
     }
   }
 
-  private _connectionOf (socket: Socket): CallerConnection {
-    const known = this._connections.get(socket) ?? new CallerConnection(socket)
-    this._connections.set(socket, known)
-    return known
+  private _connectionsOf (fromPeer: boolean): CallerConnections {
+    return fromPeer ? this._peers : this._callers
   }
 
   private _route (req: IncomingMessage, fromPeer = false): RoutedRequest {
@@ -204,10 +242,8 @@
   return new RequestError(ErrorKind.RequestTimeout, 'the body did not arrive in time')
 }
 
-async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer | null> {
-  const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
-  if (!hasBody) return null
-  const tooLarge = (): RequestError => new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) throw tooLarge()
-  return await readBounded(req, maxBytes, tooLarge)
+/** Nothing reads the body of a request that has been forwarded. */
+function releaseBody ({ memory }: CallerConnection, body: BodyBuffer): void {
+  memory.addBody(-body.capacity)
+  body.release()
 }
--- a/packages/gateway/src/callers/JaymillRequestKeys.ts
+++ b/packages/gateway/src/callers/JaymillRequestKeys.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage } from 'node:http'
-import { fingerprint, type RunKeys } from '@jaymill/core'
+import { fingerprintWithBytes, type RunKeys } from '@jaymill/core'
 import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
 
+const NO_BYTES = new Uint8Array()
+
 /**
  * @param req - A request.
  * @param body - Its body.
@@ -9,5 +11,5 @@
  * @returns Its fingerprint, which is the same when its caller sends it again, and the shared parts of its prompt.
  */
 export function runKeysOf ({ method, headers, url }: IncomingMessage, body: Buffer | null, { prompt }: RequestMetadata): RunKeys {
-  return { request: fingerprint([method ?? '', headers.host ?? '', url ?? '', body?.toString('latin1') ?? '']), parts: prompt?.sharedParts ?? [] }
+  return { request: fingerprintWithBytes([method ?? '', headers.host ?? '', url ?? ''], body ?? NO_BYTES), parts: prompt?.sharedParts ?? [] }
 }
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -7,6 +7,18 @@
 /** Time after which a caller may retry at a host that is not ready yet, in milliseconds; about the time a host takes to start. */
 export const NOT_READY_RETRY_AFTER_MS = 500
 
+/** Time after which a caller may retry when the host has no memory for its request or too many requests, in milliseconds. */
+export const MEMORY_RETRY_AFTER_MS = 1_000
+
+/** Interval between checks of what connections hold, in milliseconds. */
+export const MEMORY_CHECK_MS = 250
+
+/**
+ * Time between a refusal and the end of a connection whose caller still sends its body, in milliseconds. A connection that is closed with
+ * bytes unread is reset, and the caller may then lose the refusal.
+ */
+export const REFUSAL_DELAY_MS = 100
+
 /** Time after which a caller may retry when all endpoints are busy, in milliseconds; about one response time of a plain service. */
 export const BUSY_RETRY_AFTER_MS = 250
 
--- a/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
+++ b/packages/gateway/src/endpoints/JaymillEndpointCalls.ts
@@ -21,6 +21,8 @@
   readonly ownConnection: boolean
   /** Id of the caller's request that is forwarded; absent for calls of the host itself. */
   readonly requestId?: string
+  /** Called with the size of each part of a buffered response, in bytes. */
+  readonly onBytes?: (bytes: number) => void
 }
 
 /** Called with each call whose response has begun. */
@@ -102,7 +104,7 @@
    */
   async collect (call: EndpointCall, maxBytes: number, signal: AbortSignal): Promise<BufferedResponse> {
     const { status, headers, body } = await this.open(call, signal)
-    return { status, headers, body: await bufferBody(body, maxBytes) }
+    return { status, headers, body: await bufferBody(body, maxBytes, call.onBytes) }
   }
 
   /**
@@ -161,10 +163,11 @@
  *
  * @param body - Body of a response.
  * @param maxBytes - Maximum size, in bytes.
+ * @param onBytes - Called with the size of each part, in bytes.
  * @returns The bytes of the body.
  * @throws ExchangeError when the body breaks off or exceeds the maximum size.
  */
-export async function bufferBody (body: StreamedResponse['body'], maxBytes: number): Promise<Buffer> {
+export async function bufferBody (body: StreamedResponse['body'], maxBytes: number, onBytes?: (bytes: number) => void): Promise<Buffer> {
   const tooLarge = (): ExchangeError => new ExchangeError(ExchangeFailure.Malformed, `the response exceeds ${maxBytes} bytes`)
-  return await readBounded(body, maxBytes, tooLarge)
+  return await readBounded(body, maxBytes, tooLarge, onBytes)
 }
--- a/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPeerForwarder.ts
@@ -120,7 +120,7 @@
   }
 
   private async _buffer (request: GatewayRequest, { status, headers, body }: StreamedResponse): Promise<BufferedResponse> {
-    return { status, headers, body: await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES).catch(err => { throw this._failed(request, err) }) }
+    return { status, headers, body: await bufferBody(body, MAX_BUFFERED_RESPONSE_BYTES, bytes => request.unread.add(bytes)).catch(err => { throw this._failed(request, err) }) }
   }
 
   /**
--- a/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPlainForwarder.ts
@@ -73,7 +73,7 @@
     const finished = new AbortController()
     this._trackLoad(endpoint, 0, finished.signal)
     const startMs = clock.nowMs()
-    const attempt = await calls.collect(this._call(request, endpoint, NO_METADATA), MAX_BUFFERED_RESPONSE_BYTES, request.signal)
+    const attempt = await calls.collect({ ...this._call(request, endpoint, NO_METADATA), onBytes: bytes => request.unread.add(bytes) }, MAX_BUFFERED_RESPONSE_BYTES, request.signal)
       .then(response => this._toAttempt(request, endpoint, response), err => this._toFailedAttempt(request, endpoint, err))
       .finally(() => finished.abort())
     const ms = clock.nowMs() - startMs
--- a/packages/gateway/src/forwarding/JaymillStreamRelay.ts
+++ b/packages/gateway/src/forwarding/JaymillStreamRelay.ts
@@ -8,6 +8,9 @@
 
 const EVENT_STREAM = 'text/event-stream'
 
+/** Bytes of a stream that are read from its endpoint while its caller reads nothing, in bytes. */
+const READ_AHEAD_BYTES = 65_536
+
 /** Waits for the next piece of a run, or for a run that replaces it. */
 export type NextPiece = (run: StreamRun) => Promise<SilenceRaceResult<StreamPiece>>
 
@@ -128,16 +131,19 @@
   }
 
   private async _write ({ bytes, lastId }: StreamPiece, run: StreamRun): Promise<void> {
-    const { res } = this._request
+    const { res, unread } = this._request
     this._lastEventId = lastId ?? this._lastEventId
     if (bytes.length === 0) return
     if (this._bytes === 0) run.options.onFirst()
     this._bytes += bytes.length
     if (res.write(bytes) || res.destroyed) return
+    const held = bytes.length + READ_AHEAD_BYTES
+    unread.add(held)
     await new Promise<void>(resolve => {
       const done = (): void => { res.off('drain', done); res.off('close', done); resolve() }
       res.on('drain', done)
       res.on('close', done)
     })
+    unread.add(-held)
   }
 }
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -15,6 +15,11 @@
   readonly hosts: () => number
   readonly quarantined: () => number
   readonly outOfReach: () => number
+  /** Bytes of requests and responses in memory. */
+  readonly heldBytes: () => number
+  /** Connections whose body is not read for now. */
+  readonly waitingConnections: () => number
+  readonly callerConnections: () => number
 }
 
 /** Metrics of one host. Labels are kinds and outcomes, never ids. */
@@ -25,6 +30,7 @@
   private readonly _calls: Counter
   private readonly _forwarded: Counter
   private readonly _retries: Counter
+  private readonly _closedConnections: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
 
@@ -35,6 +41,9 @@
     this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
     this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
     this._retries = new Counter({ name: 'jaymill_retries_total', help: 'Retries charged to the budget, or refused by it.', labelNames: ['call', 'outcome'], registers })
+    this._closedConnections = new Counter({
+      name: 'jaymill_closed_connections_total', help: 'Connections that the host closed to stay within its limits.', labelNames: ['reason'], registers
+    })
     this._latency = new Histogram({
       name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
     })
@@ -54,6 +63,9 @@
     this._gauge('jaymill_config_version', 'Version of the configuration in force.', gauges.configVersion)
     this._gauge('jaymill_hosts', 'Hosts heard lately, this one included.', gauges.hosts)
     this._gauge('jaymill_services_out_of_reach', 'Services whose endpoints this host can not reach.', gauges.outOfReach)
+    this._gauge('jaymill_held_bytes', 'Bytes of requests and responses in memory.', gauges.heldBytes)
+    this._gauge('jaymill_connections_waiting', 'Connections whose body is not read for now.', gauges.waitingConnections)
+    this._gauge('jaymill_caller_connections', 'Open connections of callers.', gauges.callerConnections)
     this._gauge('jaymill_quarantined', 'Requests and parts of prompts that are refused because they crash endpoints.', gauges.quarantined)
   }
 
@@ -116,6 +128,15 @@
     this._retries.inc({ call, outcome: charged ? 'charged' : 'refused' })
   }
 
+  /**
+   * Records a connection that was closed to stay within the limits of the host.
+   *
+   * @param reason - The limit: `memory`, `idle` for a connection without a request, or `limit` for a new one.
+   */
+  recordClosedConnection (reason: string): void {
+    this._closedConnections.inc({ reason })
+  }
+
   /**
    * Serves the metrics in the text format of Prometheus.
    *
--- a/packages/settings/src/JaymillFields.ts
+++ b/packages/settings/src/JaymillFields.ts
@@ -7,12 +7,14 @@
   Milliseconds = 'ms',
   Seconds = 's',
   Bytes = 'bytes',
+  Megabytes = 'MB',
   BytesPerSecond = 'bytes/s',
   PerSecond = '1/s',
   Requests = 'requests',
   Pieces = 'KV pieces',
   Tokens = 'tokens',
   Records = 'records',
+  Descriptors = 'descriptors',
   None = ''
 }
 
--- a/packages/settings/src/JaymillGatewaySettings.ts
+++ b/packages/settings/src/JaymillGatewaySettings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod'
+import type { ProcessLimits } from '@jaymill/core'
 import { idField, nonNegativeNumberField, textField, Unit } from './JaymillFields.js'
 import { LogLevel } from './JaymillHostSettings.js'
 
@@ -44,6 +45,11 @@
     retryMinimum: nonNegativeNumberField(Unit.Requests, 'Retries allowed per window in addition to the ratio, for each service.').default(0),
     retryWindowSeconds: nonNegativeNumberField(Unit.Seconds, 'Sliding window of the retry budget; 0 allows no retries.').default(10)
   }).prefault({}).meta({ description: 'Grace period, time for a new configuration, and fleet-wide retry budget.' }),
+  limits: z.strictObject({
+    memoryMb: nonNegativeNumberField(Unit.Megabytes, 'Memory of the process, 1,000,000 bytes each. Without it, requests and responses are held without limit.').optional(),
+    descriptors: nonNegativeNumberField(Unit.Descriptors, 'File descriptors of the process. Without it, connections are accepted without limit.').optional(),
+    reservedDescriptors: nonNegativeNumberField(Unit.Descriptors, 'File descriptors that sockets do not use.').default(0)
+  }).prefault({}).meta({ description: 'Limits that the operating system or its supervisor sets for the process.' }),
   log: z.strictObject({
     level: z.enum(LogLevel).default(LogLevel.Info).meta({ description: 'Lowest severity that is logged.' })
   }).prefault({}).meta({ description: 'Logging.' })
@@ -52,6 +58,21 @@
 /** Settings of one gateway host, with defaults filled in. */
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>
 
+const BYTES_PER_MB = 1_000_000
+
+/**
+ * Converts the limits of the process.
+ *
+ * @param settings - Settings of the host.
+ * @returns The limits; each is absent without a setting.
+ */
+export function processLimits ({ limits: { memoryMb, descriptors, reservedDescriptors } }: GatewaySettings): ProcessLimits {
+  return {
+    memoryBytes: memoryMb === undefined ? undefined : memoryMb * BYTES_PER_MB,
+    sockets: descriptors === undefined ? undefined : Math.max(0, descriptors - reservedDescriptors)
+  }
+}
+
 /**
  * Parses a socket address.
  *
