Keep the arrival of a pipelined body, and log closed connections

Cause: the end of a body removed the arrival of the next one on its connection when that had begun in the same read; it could then neither wait nor be refused. A caller that left while its body arrived could count as too late.

Change: only the body's own arrival is removed; the end of the connection is the caller's. Requests in progress get 0.35 of the sockets, other hosts 0.15: a host that serves a whole availability zone may have hundreds of requests, other hosts need few connections.

--- a/packages/core/src/gateway/JaymillHostCapacity.ts
+++ b/packages/core/src/gateway/JaymillHostCapacity.ts
@@ -33,9 +33,10 @@
 /** Time for which a body waits to be read before larger ones make room, in milliseconds. */
 const MAX_WAIT_MS = 1_000
 
+/** Shares of the sockets. The rest is for the host itself: listeners, configuration source, documents, heartbeats. */
 const CALLER_SHARE = 0.4
-const PEER_SHARE = 0.2
-const REQUEST_SHARE = 0.2
+const PEER_SHARE = 0.15
+const REQUEST_SHARE = 0.35
 
 /**
  * Divides the limits of a process.
--- a/packages/gateway/src/callers/JaymillBodyReader.ts
+++ b/packages/gateway/src/callers/JaymillBodyReader.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import { ErrorKind, RequestError } from '@jaymill/core'
 import { BodyBuffer } from './JaymillBodyBuffer.js'
-import type { ConnectionMemory } from './JaymillConnectionMemory.js'
+import type { BodyArrival, ConnectionMemory } from './JaymillConnectionMemory.js'
 
 /** How a body is read. */
 export interface BodyReaderOptions {
@@ -30,16 +30,18 @@
   if (signal.aborted) throw aborted()
   const body = new BodyBuffer(announced === undefined ? maxBytes : Number(announced))
   const settled = new AbortController()
+  let arrival: BodyArrival | undefined
   try {
     await new Promise<void>((resolve, reject) => {
       signal.addEventListener('abort', () => reject(aborted()), { once: true, signal: settled.signal })
-      memory.arrival = { pause: () => req.pause(), resume: () => req.resume(), refuse: reject }
+      arrival = { pause: () => req.pause(), resume: () => req.resume(), refuse: reject }
+      memory.arrival = arrival
       const onData = (part: Buffer): void => {
         if (settled.signal.aborted) return
         if (body.size + part.length > maxBytes) reject(tooLarge())
         else memory.addBody(body.append(part))
       }
-      req.on('data', onData).once('end', resolve).once('error', () => reject(aborted()))
+      req.on('data', onData).once('end', resolve).once('error', () => reject(signal.aborted ? aborted() : callerGone()))
       settled.signal.addEventListener('abort', () => { req.off('data', onData).off('end', resolve) })
     })
     memory.completeBody(body.capacity)
@@ -50,7 +52,12 @@
     body.release()
     throw err
   } finally {
-    memory.arrival = undefined
+    // The next request on the connection may already have begun.
+    if (memory.arrival === arrival) memory.arrival = undefined
     settled.abort()
   }
 }
+
+function callerGone (): RequestError {
+  return new RequestError(ErrorKind.CallerGone, 'the caller has disconnected')
+}
--- a/packages/gateway/src/callers/JaymillCallerConnections.ts
+++ b/packages/gateway/src/callers/JaymillCallerConnections.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { ConnectionLimit } from '@jaymill/core'
+import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
 import type { GatewayMetrics } from '../metrics/JaymillGatewayMetrics.js'
 import { CallerConnection } from './JaymillCallerConnection.js'
 import type { HostMemory } from './JaymillHostMemory.js'
@@ -10,6 +11,7 @@
   private readonly _memory: HostMemory
   private readonly _metrics: GatewayMetrics
   private readonly _limit: ConnectionLimit<Socket>
+  private _closed = 0
   private readonly _connections = new WeakMap<Socket, CallerConnection>()
 
   /**
@@ -28,6 +30,17 @@
     return this._limit.count
   }
 
+  /**
+   * Logs the connections that were closed for the limit since the last call.
+   *
+   * @param log - Log of the host.
+   */
+  report (log: GatewayLog): void {
+    if (this._closed === 0) return
+    log.stateChange('too many connections', { closed: this._closed, open: this.count })
+    this._closed = 0
+  }
+
   /**
    * Adds the connections of a listener.
    *
@@ -53,6 +66,7 @@
     const excess = this._limit.open(socket)
     socket.once('close', () => this._limit.close(socket))
     if (excess !== undefined) {
+      this._closed += 1
       this._metrics.recordClosedConnection(excess === socket ? 'limit' : 'idle')
       excess.destroy()
     }
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -105,7 +105,7 @@
    */
   async start (listen: SocketAddress, peers: SocketAddress | undefined, signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this._running.forEach(({ res }) => abortResponse(res, 0)), { once: true })
-    const timer = setInterval(() => this._memory.tick(), MEMORY_CHECK_MS)
+    const timer = setInterval(() => this._checkLimits(), MEMORY_CHECK_MS)
     signal.addEventListener('abort', () => clearInterval(timer), { once: true })
     await listenOn(this._server, listen, signal)
     if (peers !== undefined) await listenOn(this._peerServer, peers, signal)
@@ -168,6 +168,12 @@
     }
   }
 
+  private _checkLimits (): void {
+    this._memory.tick()
+    this._callers.report(this._context.log)
+    this._peers.report(this._context.log)
+  }
+
   private _connectionsOf (fromPeer: boolean): CallerConnections {
     return fromPeer ? this._peers : this._callers
   }
