--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -5,7 +5,7 @@
   EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges, PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads,
   RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
-import type { GatewaySettings } from '@jaymill/settings'
+import { processLimits, type GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
 import type { GatewayRequest } from './callers/JaymillGatewayRequest.js'
 import { Ingress } from './callers/JaymillIngress.js'
@@ -128,7 +128,7 @@
     })
     this._forwardingContext = this._createForwardingContext(work, quarantine, limits)
     this._roleController = new RoleController({ ...this._forwardingContext, hostId: id, isLeader: () => this._heartbeats.isLeader })
-    this._ingress = new Ingress(this._forwardingContext, this._forwarderSelector())
+    this._ingress = new Ingress(this._forwardingContext, this._forwarderSelector(), processLimits(settings))
   }
 
   /** Starts every listener. The host becomes ready as soon as it has a configuration and the endpoints. */
@@ -312,7 +312,10 @@
       hosts: () => this._heartbeats.livePeers.length + 1,
       quarantined: () => this._forwardingContext.crashes.quarantinedCount,
       outOfReach: () => this._forwardingContext.reachability.lostCount,
-      accountsNearLimit: () => this._quotas.busyAccounts(this._adapters.clock.nowMs()).length
+      accountsNearLimit: () => this._quotas.busyAccounts(this._adapters.clock.nowMs()).length,
+      heldBytes: () => this._ingress.heldBytes,
+      waitingConnections: () => this._ingress.waitingConnections,
+      callerConnections: () => this._ingress.callerConnections
     })
   }
 
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -1,22 +1,29 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { chooseTarget, ErrorKind, JaymillError, RequestError, type ClientAccount, type GatewayConfig, type GatewayRoute, type GatewayService } from '@jaymill/core'
+import {
+  chooseTarget, ErrorKind, hostCapacity, JaymillError, RequestError, type ClientAccount, type GatewayConfig, type GatewayRoute, type GatewayService,
+  type HostCapacity, type ProcessLimits
+} from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
-import { readBounded, untilAborted } from '../JaymillBoundedBytes.js'
 import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
-import { CONNECTION_CHECK_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
+import { CONNECTION_CHECK_MS, MEMORY_CHECK_MS, MEMORY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
+import type { BodyBuffer } from './JaymillBodyBuffer.js'
+import { announcesBody, readBody } from './JaymillBodyReader.js'
 import { accountOfCaller, accountOfForwarded } from './JaymillCallerAccount.js'
-import { CallerConnection } from './JaymillCallerConnection.js'
+import type { CallerConnection } from './JaymillCallerConnection.js'
+import { CallerConnections } from './JaymillCallerConnections.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
 import { limitAttempts, readForwardedMetadata } from './JaymillForwardedRequest.js'
 import { AbortReason, type GatewayRequest } from './JaymillGatewayRequest.js'
 import { checkHostHeader } from './JaymillHostHeader.js'
+import { HostMemory } from './JaymillHostMemory.js'
 import { listenOn } from './JaymillListener.js'
 import type { QuotaCharge } from './JaymillQuotaGate.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
 import { refuseUnreadable } from './JaymillUnreadableRequest.js'
+import { UnreadResponse } from './JaymillUnreadResponse.js'
 
 /** Selects the forwarder for a request. */
 export type ForwarderSelector = (request: GatewayRequest) => Forwarder
@@ -52,18 +59,28 @@
   private readonly _server: Server
   private readonly _peerServer: Server
   private readonly _running = new Set<RunningRequest>()
-  private readonly _connections = new WeakMap<Socket, CallerConnection>()
+  private readonly _limits: ProcessLimits
+  private readonly _memory: HostMemory
+  private readonly _callers: CallerConnections
+  private readonly _peers: CallerConnections
+  private _capacity: HostCapacity
 
   /**
    * @param context - Components of the host.
    * @param selectForwarder - Selects the forwarder for a request.
+   * @param limits - Limits of the process.
    */
-  constructor (context: ForwardingContext, selectForwarder: ForwarderSelector) {
+  constructor (context: ForwardingContext, selectForwarder: ForwarderSelector, limits: ProcessLimits) {
     this._context = context
     this._selectForwarder = selectForwarder
     const options = { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, requestTimeout: 0 }
-    const serverFor = (fromPeer: boolean): Server => createServer(options, (req, res) => { this._serve(req, res, fromPeer).catch(err => this._drop(req, res, err)) })
-      .on('clientError', (err, socket) => this._connectionOf(socket as Socket).endUnreadable(responding => refuseUnreadable(err, socket, responding)))
+    this._limits = limits
+    this._capacity = hostCapacity(limits, 0)
+    this._memory = new HostMemory(context, this._capacity.bytes)
+    this._callers = new CallerConnections(this._memory, context.metrics, this._capacity.callerConnections)
+    this._peers = new CallerConnections(this._memory, context.metrics, this._capacity.peerConnections)
+    const serverFor = (fromPeer: boolean): Server => this._connectionsOf(fromPeer).watch(createServer(options, (req, res) => { this._serve(req, res, fromPeer).catch(err => this._drop(req, res, err)) }))
+      .on('clientError', (err, socket) => this._connectionsOf(fromPeer).of(socket as Socket).endUnreadable(responding => refuseUnreadable(err, socket, responding)))
     this._server = serverFor(false)
     this._peerServer = serverFor(true)
   }
@@ -73,6 +90,21 @@
     return this._running.size
   }
 
+  /** Bytes of requests and responses in memory. */
+  get heldBytes (): number {
+    return this._memory.heldBytes
+  }
+
+  /** Number of connections whose body is not read for now. */
+  get waitingConnections (): number {
+    return this._memory.waitingCount
+  }
+
+  /** Number of open connections of callers. */
+  get callerConnections (): number {
+    return this._callers.count
+  }
+
   /**
    * Starts to listen.
    *
@@ -82,6 +114,8 @@
    */
   async start (listen: SocketAddress, peers: SocketAddress | undefined, signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this._running.forEach(({ res }) => abortResponse(res, 0)), { once: true })
+    const timer = setInterval(() => this._checkLimits(), MEMORY_CHECK_MS)
+    signal.addEventListener('abort', () => clearInterval(timer), { once: true })
     await listenOn(this._server, listen, signal)
     if (peers !== undefined) await listenOn(this._peerServer, peers, signal)
   }
@@ -94,6 +128,8 @@
   applyLimits ({ limits }: GatewayConfig): void {
     this._server.headersTimeout = limits.headerTimeoutMs
     this._server.keepAliveTimeout = limits.idleTimeoutMs
+    this._capacity = hostCapacity(this._limits, limits.maxBodyBytes)
+    this._memory.applyLimits(this._capacity.bytes)
   }
 
   /** Gives up the requests in progress at the end of a planned stop. Those whose response has not started get a problem document. */
@@ -106,7 +142,7 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse, fromPeer: boolean): Promise<void> {
-    const connection = this._connectionOf(req.socket)
+    const connection = this._connectionsOf(fromPeer).of(req.socket)
     if (connection.ending) {
       req.resume()
       return
@@ -121,15 +157,18 @@
     if (this._context.plannedStop() !== undefined) connection.endAfter(res)
     let account: ClientAccount | undefined
     let charge: QuotaCharge | undefined
+    let body: BodyBuffer | null = null
     try {
       checkHostHeader(req)
+      if (this._running.size > this._capacity.requests) throw new RequestError(ErrorKind.Overloaded, 'too many requests are in progress', { retryAfterMs: MEMORY_RETRY_AFTER_MS })
       const routed = fromPeer ? this._routeForwarded(req) : this._routeCaller(req, metadata)
       const { route, service, version, config } = routed
       account = routed.account
       if (!fromPeer) charge = this._context.quotaGate.enter(account, metadata)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
-      const body = await untilAborted(readBody(req, config.limits.maxBodyBytes), signal, () => bodyTimeout(signal))
+      body = await readBody(req, { maxBytes: config.limits.maxBodyBytes, memory: connection.memory, signal, aborted: () => bodyTimeout(signal) })
+      const bytes = body?.bytes ?? null
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
       const request = {
@@ -142,9 +181,10 @@
         ...(account === undefined ? {} : { account }),
         hasAccounts: config.accounts !== undefined,
         priority: account?.priority ?? route.priority,
-        keys: runKeysOf(req, body, metadata),
+        keys: runKeysOf(req, bytes, metadata),
         version,
-        body,
+        body: bytes,
+        unread: new UnreadResponse(connection, res),
         fromPeer,
         arrivedMs,
         deadlineMs,
@@ -156,13 +196,19 @@
     } catch (err) {
       charge?.refused(err)
       this._refuse(req, res, metadata.requestId, err, arrivedMs, account)
+    } finally {
+      if (body !== null) releaseBody(connection, body)
     }
   }
 
-  private _connectionOf (socket: Socket): CallerConnection {
-    const known = this._connections.get(socket) ?? new CallerConnection(socket)
-    this._connections.set(socket, known)
-    return known
+  private _checkLimits (): void {
+    this._memory.tick()
+    this._callers.report(this._context.log)
+    this._peers.report(this._context.log)
+  }
+
+  private _connectionsOf (fromPeer: boolean): CallerConnections {
+    return fromPeer ? this._peers : this._callers
   }
 
   private _route (req: IncomingMessage, fromPeer = false): RoutedRequest {
@@ -246,14 +292,8 @@
   return new RequestError(ErrorKind.RequestTimeout, 'the body did not arrive in time')
 }
 
-/** Node.js marks a request without a body as complete only after its handler was called. */
-function announcesBody ({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
-async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer | null> {
-  if (!announcesBody(req)) return null
-  const tooLarge = (): RequestError => new RequestError(ErrorKind.TooLarge, `the body exceeds ${maxBytes} bytes`)
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) throw tooLarge()
-  return await readBounded(req, maxBytes, tooLarge)
+/** Nothing reads the body of a request that has been forwarded. */
+function releaseBody ({ memory }: CallerConnection, body: BodyBuffer): void {
+  memory.addBody(-body.capacity)
+  body.release()
 }
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -25,6 +25,11 @@
   readonly quarantined: () => number
   readonly outOfReach: () => number
   readonly accountsNearLimit: () => number
+  /** Bytes of requests and responses in memory. */
+  readonly heldBytes: () => number
+  /** Connections whose body is not read for now. */
+  readonly waitingConnections: () => number
+  readonly callerConnections: () => number
 }
 
 /** Metrics of one host. Labels are kinds and outcomes, never ids. */
@@ -37,6 +42,7 @@
   private readonly _forwarded: Counter
   private readonly _retries: Counter
   private readonly _quotaUnits: Counter
+  private readonly _closedConnections: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
   private readonly _capacityWait: Histogram
@@ -50,6 +56,9 @@
     this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
     this._retries = new Counter({ name: 'jaymill_retries_total', help: 'Retries charged to the budget, or refused by it.', labelNames: ['call', 'outcome'], registers })
     this._quotaUnits = new Counter({ name: 'jaymill_quota_units_total', help: 'Units of quotas that callers asked for.', labelNames: ['outcome'], registers })
+    this._closedConnections = new Counter({
+      name: 'jaymill_closed_connections_total', help: 'Connections that the host closed to stay within its limits.', labelNames: ['reason'], registers
+    })
     this._latency = new Histogram({
       name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
     })
@@ -83,6 +92,9 @@
     this._gauge('jaymill_hosts', 'Hosts heard lately, this one included.', gauges.hosts)
     this._gauge('jaymill_services_out_of_reach', 'Services whose endpoints this host can not reach.', gauges.outOfReach)
     this._gauge('jaymill_accounts_near_limit', 'Client accounts that are close to their quota, or over it.', gauges.accountsNearLimit)
+    this._gauge('jaymill_held_bytes', 'Bytes of requests and responses in memory.', gauges.heldBytes)
+    this._gauge('jaymill_connections_waiting', 'Connections whose body is not read for now.', gauges.waitingConnections)
+    this._gauge('jaymill_caller_connections', 'Open connections of callers.', gauges.callerConnections)
     this._gauge('jaymill_quarantined', 'Requests and parts of prompts that are refused because they crash endpoints.', gauges.quarantined)
   }
 
@@ -164,6 +176,15 @@
     this._quotaUnits.inc({ outcome: admitted ? 'admitted' : 'refused' }, units)
   }
 
+  /**
+   * Records a connection that was closed to stay within the limits of the host.
+   *
+   * @param reason - The limit: `memory`, `idle` for a connection without a request, or `limit` for a new one.
+   */
+  recordClosedConnection (reason: string): void {
+    this._closedConnections.inc({ reason })
+  }
+
   /**
    * Serves the metrics in the text format of Prometheus.
    *
