No part of a key in the log when a document of another host is broken

The message of a JSON syntax error quotes the text around the error, and host documents contain the keys of accounts: the line 'documents not fetched' showed one. The error now names the host only. The test shows the key before the change and none after; the other tests of the file share its set-up and check what they did.

--- a/packages/gateway/src/__tests__/failure/JaymillDocumentExchange.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillDocumentExchange.test.ts
@@ -66,7 +66,8 @@
   }]
 ]
 
-test.each(SENDERS)('a document of %s from another host is given up in time, with flat memory', async (_name, send) => {
+/** Fetches a document from a host that sends what `send` writes. Returns the state, and the log lines, which grow. */
+async function fetchFrom (send: (res: ServerResponse) => void): Promise<{ state: FleetState, lines: readonly string[] }> {
   server = createServer((_req, res) => send(res)).listen(PORT, address)
   await once(server, 'listening')
   const lines: string[] = []
@@ -74,9 +75,21 @@
   const clock = new TestClock()
   const state = new FleetState(clock, log)
   const exchange = new DocumentExchange({ listen: { address, port: PORT }, state, follower: { connected: false } as FleetFollower, clock, log })
+  exchange.scheduleFetch(address, MESSAGE)
+  return { state, lines }
+}
+
+// The message of a syntax error quotes the text around the error.
+test('a document that is not valid JSON leaves no part of a key in the log', async () => {
+  const { lines } = await fetchFrom(res => res.end('{"config":{"version":9,"accounts":[{"name":"a","keys":["secret",x'))
+  while (!lines.some(line => line.includes('documents not fetched'))) await sleep(20)
+  expect(lines.filter(line => line.includes('ecre'))).toEqual([])
+})
+
+test.each(SENDERS)('a document of %s from another host is given up in time, with flat memory', async (_name, send) => {
   const startMs = performance.now()
   const before = process.memoryUsage().rss
-  exchange.scheduleFetch(address, MESSAGE)
+  const { state, lines } = await fetchFrom(send)
   while (!lines.some(line => line.includes('documents not fetched')) && performance.now() - startMs < 2 * GIVE_UP_MS) await sleep(20)
   expect(performance.now() - startMs).toBeLessThan(GIVE_UP_MS)
   expect(process.memoryUsage().rss - before).toBeLessThan(MAX_GROWTH_BYTES)
--- a/packages/gateway/src/peers/JaymillDocumentExchange.ts
+++ b/packages/gateway/src/peers/JaymillDocumentExchange.ts
@@ -107,7 +107,7 @@
     const bytes = await readBounded(body, MAX_DOCUMENT_BYTES, () => new SourceError(`the document of ${host} exceeds ${MAX_DOCUMENT_BYTES} bytes`))
     if (statusCode !== STATUS_OK) return
     const text = headers['content-encoding'] === GZIP ? await unzip(bytes, { maxOutputLength: MAX_DOCUMENT_BYTES }) : bytes
-    state.applyDocument(JSON.parse(text.toString('utf8')) as FleetDocument)
+    state.applyDocument(parseDocument(text, host))
   }
 
   private _serve (req: IncomingMessage, res: ServerResponse): void {
@@ -124,3 +124,12 @@
     res.writeHead(STATUS_OK, { 'Content-Type': 'application/json', ...encoding }).end(compressed ? gzipSync(bytes) : bytes)
   }
 }
+
+/** The message of a syntax error would quote the document, which has the keys of accounts, in the log. */
+function parseDocument (bytes: Buffer, host: string): FleetDocument {
+  try {
+    return JSON.parse(bytes.toString('utf8')) as FleetDocument
+  } catch {
+    throw new SourceError(`the document of ${host} is not valid JSON`)
+  }
+}
