--- a/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
@@ -27,6 +27,7 @@
     part: 0,
     parts: 1,
     load: [{ endpointId: 'i-559cb29810', requests: 2, tokens: 11_745 }],
+    factors: [{ endpointId: 'i-559cb29810', calls: 2.1, factors: 3.4 }],
     directPrefills: [{ endpointId: 'i-465fa000e6', requests: 1, tokens: 5_200 }],
     demand: [{ service: 'xara81a', promptRate: 42.71, kvRate: 78.5, waitingTokens: 9_000 }],
     changing: ['i-b24fb240ce']
@@ -38,29 +39,42 @@
   expect(decodeHostMessage(encodeHostMessage(MESSAGE))).toEqual(MESSAGE)
 })
 
-const USES: readonly AccountUse[] = [{ account: 'payroll', used: 4_711_000, demandPerS: 400_828.25, level: -0.125 }, { account: 'b', used: 0, demandPerS: 0.5 }]
+const USES: readonly AccountUse[] = [{ account: 'payroll', used: 4_711_000, demandPerS: 400_828.25, recent: 5_100, level: -0.125 }, { account: 'b', used: 0, demandPerS: 0.5, recent: 0 }]
 
 test.each([QuotaScope.Host, QuotaScope.Zone, QuotaScope.Fleet])('the use of quotas is decoded as it was encoded, with scope %s', scope => {
   const message = { ...MESSAGE, quotas: { scope, uses: USES } }
   expect(decodeHostMessage(encodeHostMessage(message))).toEqual(message)
 })
 
-function withQuotas (quotas: unknown): Uint8Array {
+/** Positions of elements of the work in a datagram. */
+const QUOTAS_AT = 9
+const FACTORS_AT = 10
+
+function withWork (change: (work: readonly unknown[]) => readonly unknown[]): Uint8Array {
   const wire = decode(encodeHostMessage(MESSAGE)) as unknown[]
-  const work = wire.at(-1) as unknown[]
-  return encode([...wire.slice(0, -1), quotas === undefined ? work.slice(0, -1) : [...work.slice(0, -1), quotas]])
+  return encode([...wire.slice(0, -1), change(wire.at(-1) as unknown[])])
 }
 
-test('a message of an earlier release, without quotas, is decoded', () => {
-  expect(decodeHostMessage(withQuotas(undefined))).toEqual(MESSAGE)
+const withElement = (at: number, value: unknown): Uint8Array => withWork(work => work.map((element, i) => i === at ? value : element))
+const withQuotas = (quotas: unknown): Uint8Array => withElement(QUOTAS_AT, quotas)
+
+test.each([['quotas', QUOTAS_AT], ['factors', FACTORS_AT]])('a message of an earlier release, without %s, is decoded', (_name, at) => {
+  expect(decodeHostMessage(withWork(work => work.slice(0, at)))).toEqual({ ...MESSAGE, work: { ...MESSAGE.work, factors: [] } })
+})
+
+test.each([[7], ['text'], [{}], [null], [[7]], [['a', 1, 1]], [[['a', 1]]], [[['a', -1, 1]]], [[['a', 1, Number.NaN]]], [[['a', 1, Number.POSITIVE_INFINITY]]], [[[1, 1, 1]]]])('malformed factors are ignored: %j', factors => {
+  expect(decodeHostMessage(withElement(FACTORS_AT, factors))?.work.factors).toEqual([])
 })
 
 test.each([[7], ['text'], [{}], [[7, []]], [[0, {}]], [[0, null]]])('quotas in another format are ignored: %j', quotas => {
   expect(decodeHostMessage(withQuotas(quotas))).toEqual(MESSAGE)
 })
 
-test.each([[[1, 2, 3, 4]], [['a', 'b', 0, 0]], [['a', 0, -1, 0]], [['a', 0, Number.NaN, 0]], [['a', 0, 0, Number.POSITIVE_INFINITY]], [['a', 0, 0]], [null]])('malformed use of a quota is ignored: %j', use => {
-  expect(decodeHostMessage(withQuotas([QuotaScope.Host, [use, ['a', 1, 100, null]]]))?.quotas?.uses).toEqual([{ account: 'a', used: 1, demandPerS: 1 }])
+test.each([
+  [[1, 2, 3, 0, 4]], [['a', 'b', 0, 0, 0]], [['a', 0, -1, 0, 0]], [['a', 0, Number.NaN, 0, 0]], [['a', 0, 0, -1, 0]], [['a', 0, 0, 0, Number.POSITIVE_INFINITY]],
+  [['a', 0, 0, 0]], [null]
+])('malformed use of a quota is ignored: %j', use => {
+  expect(decodeHostMessage(withQuotas([QuotaScope.Host, [use, ['a', 1, 100, 2, null]]]))?.quotas?.uses).toEqual([{ account: 'a', used: 1, demandPerS: 1, recent: 2 }])
 })
 
 test('a report of a busy host and a part of a digest fit into one datagram', () => {
@@ -69,7 +83,7 @@
   const digest = { ...MESSAGE, limits: limits(MAX_DIGEST_LIMITS), batches: [], hosts: [], work: { ...MESSAGE.work, scope: WorkScope.Fleet, load } }
   expect(encodeHostMessage(digest).length).toBeLessThan(MTU_BYTES)
   const addresses = Array.from({ length: 195 }, (_, i) => `10.1.${i >> 8}.${i & 0xff}`)
-  const uses = Array.from({ length: MAX_ACCOUNT_USES }, (_, i) => ({ account: `account-of-a-customer-${i}`, used: 40_000_000, demandPerS: 400_000, level: 0.5 }))
+  const uses = Array.from({ length: MAX_ACCOUNT_USES }, (_, i) => ({ account: `account-of-a-customer-${i}`, used: 40_000_000, demandPerS: 400_000, recent: 11_000, level: 0.5 }))
   expect(encodeHostMessage({ ...MESSAGE, limits: limits(MAX_HOST_LIMITS), quotas: { scope: QuotaScope.Host, uses } }).length).toBeLessThan(MTU_BYTES)
   expect(encodeHostMessage({ ...MESSAGE, limits: limits(MAX_HOST_LIMITS), hosts: [{ zone: 'z', addresses, connected: [] }] }).length).toBeLessThan(MTU_BYTES)
 })
