Take out the choice of engines by their speed and the factors between hosts

Hosts filled the fastest decode engines until these refused, and all preferred the same prefill engines, since the factors contain the time in the queue.

The tests of what is taken out go with it; the test of messages without quotas keeps addressing elements by their position.

Tests run: 105 of 105 (gateway unit, work forecast, latency model, reported load, plain routes, streams).

--- a/packages/core/src/__tests__/unit/gateway/JaymillServiceLatencyModel.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillServiceLatencyModel.test.ts
@@ -25,52 +25,6 @@
   expect(model.factor('e3', 2_000)).toBe(1)
 })
 
-const SPEEDS = [0.6, 1, 1.6]
-const speedOf = (i: number): number => SPEEDS[i % SPEEDS.length] ?? 1
-
-// A host of a large fleet calls each engine twice a minute: alone it never learns which ones are slow.
-test('77 hosts before 22 engines of three speeds: each host knows them from the reports of all, and that one is no longer slow', () => {
-  const random = new SeededRandom(7)
-  const hosts = Array.from({ length: 77 }, () => new ServiceLatencyModel())
-  const relay = new ServiceLatencyModel()
-  const callAt = (atMs: number, speed: (i: number) => number): void => {
-    const engine = Math.floor(random.next() * 22)
-    hosts[Math.floor(random.next() * 77)]?.addMeasurement(keyOf(engine), 1, 100 * (0.7 + 0.6 * random.next()) / speed(engine), atMs)
-  }
-  const exchange = (atMs: number): void => {
-    hosts.forEach((host, i) => relay.update(`h${i}`, host.shares([], atMs)))
-    hosts.forEach(host => host.update('relay', relay.shares(hosts.map((_, i) => `h${i}`), atMs)))
-  }
-  const meanFactor = (of: number, nowMs: number): number => hosts.reduce((sum, host) => sum + host.factor(`e${of}`, nowMs), 0) / hosts.length
-  const play = (fromMs: number, speed: (i: number) => number): void => Array.from({ length: 20 }, (_, s) => fromMs + s * 1_000).forEach(atMs => {
-    Array.from({ length: 55 }, (_, i) => atMs + i * 18).forEach(ms => callAt(ms, speed))
-    exchange(atMs + 1_000)
-  })
-  play(0, () => 1)
-  play(20_000, speedOf)
-  expect(meanFactor(0, 40_000) / meanFactor(1, 40_000)).toBeGreaterThan(1.3)
-  expect(meanFactor(1, 40_000) / meanFactor(2, 40_000)).toBeGreaterThan(1.2)
-  const alone = hosts[0]
-  alone?.update('relay', [])
-  const spread = Array.from({ length: 22 }, (_, i) => alone?.factor(`e${i}`, 40_000) ?? 1)
-  expect(spread.filter(factor => Math.abs(factor - 1) > 0.1).length).toBeLessThan(8)
-  play(40_000, () => 1)
-  expect(meanFactor(0, 60_000) / meanFactor(1, 60_000)).toBeCloseTo(1, 0)
-  expect(meanFactor(0, 60_000)).toBeLessThan(1.15)
-})
-
-test('reports name only endpoints that differ from their group, and a source that is gone no longer counts', () => {
-  const model = new ServiceLatencyModel()
-  Array.from({ length: 60 }, (_, i) => i).forEach(i => model.addMeasurement(keyOf(i % 6), 1, i % 6 === 3 ? 300 : 100, i * 100))
-  expect(model.shares([], 6_000).map(({ endpointId }) => endpointId)).toContain('e3')
-  const other = new ServiceLatencyModel()
-  other.update('relay', model.shares([], 6_000))
-  expect(other.factor('e3', 6_000)).toBeGreaterThan(1.3)
-  expect(other.shares(['relay'], 6_000)).toEqual(model.shares([], 6_000))
-  other.update('relay', [])
-  expect(other.factor('e3', 6_000)).toBe(1)
-})
-
 test('a group without measurements is estimated by the initial value', () => {
   expect(new ServiceLatencyModel().expectedMs(keyOf(1), 3, 50, 0)).toBe(150)
 })
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -28,10 +28,6 @@
 /** Random jitter added to each cost, in milliseconds; keeps hosts with the same information from choosing the same endpoint. */
 export const RANKING_JITTER_MS = 1
 
-/** Calls that a reported factor of an endpoint stands for at least, and how far it differs from 1 at least; keep reports small. */
-export const REPORTED_FACTOR_MIN_CALLS = 0.3
-export const REPORTED_FACTOR_DEVIATION = 0.1
-
 /** Largest number of requests in the reported load of an endpoint; larger ones are taken as this. */
 export const REPORTED_REQUESTS_MAX = 100_000
 
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import {
   AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits,
-  EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges, PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads,
+  EndpointReliability, FleetRetryBudget, PendingRoleChanges, PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads,
   RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
@@ -90,13 +90,7 @@
     this._settings = settings
     this._adapters = adapters
     const { clock, random, log, source } = adapters
-    const work = {
-      load: new EndpointLoad(),
-      directPrefills: new EndpointLoad(),
-      latencyModel: new ServiceLatencyModel(),
-      demand: new PromptDemand(),
-      roleChanges: new PendingRoleChanges()
-    }
+    const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
     const quarantine = new CrashQuarantine()
     const limits = new EndpointRateLimits()
     const { quotaWindowSeconds, quotaOverage } = settings.bounds
@@ -199,7 +193,7 @@
     this._abort.abort()
   }
 
-  private _createForwardingContext ({ load, directPrefills, latencyModel, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
+  private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, random, log, signal: this._abort.signal })
@@ -237,7 +231,7 @@
       reportedLoads: new ReportedLoads(),
       quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reliability: new EndpointReliability(),
-      latencyModel,
+      latencyModel: new ServiceLatencyModel(),
       budget,
       hostCount,
       plannedStop: () => this._plannedStop,
@@ -296,12 +290,9 @@
     this._forwardingContext.reportedLoads.forget(record.id)
   }
 
-  /** Decode engines of a large fleet are too many for a host to measure their speed, so the one that they report is shared. */
-  private _loadReported ({ id, stage }: EndpointRecord, { load: reported }: ResponseMetadata): void {
-    const { reportedLoads, latencyModel, load, loadAgeMs, clock } = this._forwardingContext
-    if (reported === undefined) return
-    reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
-    if (stage === EngineRole.Decode && loadAgeMs() > 0) latencyModel.addFactor(id, reported.slowness, clock.nowMs())
+  private _loadReported ({ id }: EndpointRecord, { load: reported }: ResponseMetadata): void {
+    const { reportedLoads, load, clock } = this._forwardingContext
+    if (reported !== undefined) reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
   }
 
   private _watchMetrics (): void {
--- a/packages/gateway/src/__tests__/failure/JaymillDocumentExchange.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillDocumentExchange.test.ts
@@ -41,7 +41,7 @@
   fence: 0,
   batches: [],
   hosts: [],
-  work: { scope: WorkScope.None, part: 0, parts: 1, load: [], factors: [], directPrefills: [], demand: [], changing: [] },
+  work: { scope: WorkScope.None, part: 0, parts: 1, load: [], directPrefills: [], demand: [], changing: [] },
   limits: []
 }
 
--- a/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
+++ b/packages/gateway/src/__tests__/failure/JaymillHostHeartbeats.test.ts
@@ -3,7 +3,7 @@
 import { Writable } from 'node:stream'
 import { afterEach, expect, test, vi } from 'vitest'
 import {
-  AccountQuotas, Clock, CountedQuotaShare, CrashQuarantine, EndpointLoad, EndpointRateLimits, PendingRoleChanges, PromptDemand, ServiceLatencyModel, QuotaUnit, SeededRandom,
+  AccountQuotas, Clock, CountedQuotaShare, CrashQuarantine, EndpointLoad, EndpointRateLimits, PendingRoleChanges, PromptDemand, QuotaUnit, SeededRandom,
   type EndpointRecord, type GatewayConfig
 } from '@jaymill/core'
 import { FleetState, Origin } from '../../fleet/JaymillFleetState.js'
@@ -29,7 +29,6 @@
   readonly address: string
   readonly zone: string
   readonly load: EndpointLoad
-  readonly latencyModel: ServiceLatencyModel
   readonly state: FleetState
   readonly heartbeats: HostHeartbeats
   readonly quarantine: CrashQuarantine
@@ -50,7 +49,7 @@
 async function startHost (i: number, connected: boolean): Promise<FleetHost> {
   const clock = new TestClock()
   const log = new GatewayLog('error', `host-${i}`, new Writable({ write: (_chunk, _encoding, done) => done() }))
-  const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), latencyModel: new ServiceLatencyModel(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
+  const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
   const state = new FleetState(clock, log)
   state.applySnapshot({ config: CONFIG, endpoints: [], revision: 1 }, Origin.Source)
   const zone = ZONES[i % ZONES.length] ?? ''
@@ -62,7 +61,7 @@
   })
   state.onUpdate(origin => heartbeats.stateUpdated(origin), abort.signal)
   await heartbeats.start(abort.signal)
-  return { address: addressOf(i), zone, load: work.load, latencyModel: work.latencyModel, state, heartbeats, quarantine, quotas, abort }
+  return { address: addressOf(i), zone, load: work.load, state, heartbeats, quarantine, quotas, abort }
 }
 
 async function startFleet (hosts: number): Promise<void> {
@@ -147,29 +146,6 @@
   expect(fleet.every(({ quarantine }) => quarantine.quarantined({ request: 'r5', parts: ['shared', 'other'] }, now()) === undefined)).toBe(true)
 }, 30_000)
 
-// A host of a large fleet has too few calls of its own to each endpoint to know which ones are slow.
-test('each of 40 hosts knows that an endpoint is slow, from calls of which each host has made a few; hosts of a small fleet report nothing', async () => {
-  await startFleet(40)
-  await untilAll(({ heartbeats }) => heartbeats.livePeers.length === 39, KNOWN_WITHIN_MS)
-  const measure = (): void => fleet.forEach(({ latencyModel }, i) => {
-    Array.from({ length: 4 }).forEach(() => latencyModel.addMeasurement({ group: 's', endpointId: `e${i % 4}` }, 1, i % 4 === 0 ? 300 : 100, performance.now()))
-    if (i % 4 !== 0) latencyModel.addMeasurement({ group: 's', endpointId: 'e0' }, 1, 300, performance.now())
-  })
-  measure()
-  fleet.forEach(({ heartbeats }) => heartbeats.scheduleSend())
-  const knows = ({ latencyModel }: FleetHost): boolean => latencyModel.factor('e0', performance.now()) > 1.5
-  expect(fleet.filter(knows).length).toBeLessThan(20)
-  expect(await untilAll(knows, KNOWN_WITHIN_MS)).toBeLessThan(KNOWN_WITHIN_MS)
-  fleet.forEach(({ abort }) => abort.abort())
-  await startFleet(3)
-  await untilAll(({ heartbeats }) => heartbeats.livePeers.length === 2, KNOWN_WITHIN_MS)
-  const [first, second] = fleet
-  Array.from({ length: 20 }).forEach((_, i) => first?.latencyModel.addMeasurement({ group: 's', endpointId: `e${i % 4}` }, 1, i % 4 === 0 ? 300 : 100, performance.now()))
-  first?.heartbeats.scheduleSend()
-  await sleep(600)
-  expect(second?.latencyModel.factor('e0', performance.now())).toBe(1)
-}, 40_000)
-
 // Guards against accounts that get their whole quota from each host, and against hosts that refuse requests below it.
 test.each([3, 20])('%i hosts admit what the quota of an account allows over all of them, whichever of them its callers choose', async hosts => {
   await startFleet(hosts)
--- a/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillHostMessage.test.ts
@@ -27,7 +27,6 @@
     part: 0,
     parts: 1,
     load: [{ endpointId: 'i-559cb29810', requests: 2, tokens: 11_745 }],
-    factors: [{ endpointId: 'i-559cb29810', calls: 2.1, factors: 3.4 }],
     directPrefills: [{ endpointId: 'i-465fa000e6', requests: 1, tokens: 5_200 }],
     demand: [{ service: 'xara81a', promptRate: 42.71, kvRate: 78.5, waitingTokens: 9_000 }],
     changing: ['i-b24fb240ce']
@@ -46,24 +45,18 @@
   expect(decodeHostMessage(encodeHostMessage(message))).toEqual(message)
 })
 
-/** Positions of elements of the work in a datagram. */
+/** Position of the quotas in the work of a datagram. */
 const QUOTAS_AT = 9
-const FACTORS_AT = 10
 
 function withWork (change: (work: readonly unknown[]) => readonly unknown[]): Uint8Array {
   const wire = decode(encodeHostMessage(MESSAGE)) as unknown[]
   return encode([...wire.slice(0, -1), change(wire.at(-1) as unknown[])])
 }
 
-const withElement = (at: number, value: unknown): Uint8Array => withWork(work => work.map((element, i) => i === at ? value : element))
-const withQuotas = (quotas: unknown): Uint8Array => withElement(QUOTAS_AT, quotas)
+const withQuotas = (quotas: unknown): Uint8Array => withWork(work => work.map((element, i) => i === QUOTAS_AT ? quotas : element))
 
-test.each([['quotas', QUOTAS_AT], ['factors', FACTORS_AT]])('a message of an earlier release, without %s, is decoded', (_name, at) => {
-  expect(decodeHostMessage(withWork(work => work.slice(0, at)))).toEqual({ ...MESSAGE, work: { ...MESSAGE.work, factors: [] } })
-})
-
-test.each([[7], ['text'], [{}], [null], [[7]], [['a', 1, 1]], [[['a', 1]]], [[['a', -1, 1]]], [[['a', 1, Number.NaN]]], [[['a', 1, Number.POSITIVE_INFINITY]]], [[[1, 1, 1]]]])('malformed factors are ignored: %j', factors => {
-  expect(decodeHostMessage(withElement(FACTORS_AT, factors))?.work.factors).toEqual([])
+test('a message of an earlier release, without quotas, is decoded', () => {
+  expect(decodeHostMessage(withWork(work => work.slice(0, QUOTAS_AT)))).toEqual(MESSAGE)
 })
 
 test.each([[7], ['text'], [{}], [[7, []]], [[0, {}]], [[0, null]]])('quotas in another format are ignored: %j', quotas => {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -133,7 +133,7 @@
 
   private _takeEndpoint (request: GatewayRequest, triedIds: readonly string[]): EndpointRecord | undefined {
     const { admission } = this._context
-    const [endpoint] = this._rankExpected(request, this._untried(request, triedIds).filter(record => admission.allows(record)), 0)
+    const [endpoint] = this._rankPlain(request, this._untried(request, triedIds).filter(record => admission.allows(record)))
     if (endpoint !== undefined) admission.sent(endpoint)
     return endpoint
   }
@@ -148,21 +148,20 @@
   }
 
   /**
-   * Ranks endpoints whose calls are short, best first. While the work of other hosts is known late, endpoints that report their load
+   * Ranks endpoints of a plain service, best first. While the work of other hosts is known late, endpoints that report their load
    * are compared by the work that is to be expected there now.
    */
-  protected _rankExpected (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
+  private _rankPlain (request: GatewayRequest, records: readonly EndpointRecord[]): readonly EndpointRecord[] {
     const { zone, random, reliability, clock } = this._context
-    if (!this._expectsWork(request)) return this._rank(request, records, tokens)
+    if (!this._expectsWork(request)) return this._rank(request, records, 0)
     const nowMs = clock.nowMs()
     const suspects = records.filter(({ id }) => reliability.isSuspect(id, nowMs))
     const { sampled, rest } = sampleEndpoints(records.filter(record => !suspects.includes(record)), zone, EXPECTED_SAMPLED_ENDPOINTS, random)
     const known = sampled.map(record => this._knownWork(record))
     const expected = this._forecast.expect(known, nowMs, random)
-    const tokensPerRequest = this._tokensPerRequest(records, tokens)
-    const candidates = this._candidates(sampled, tokens).map((candidate, i) => {
+    const candidates = this._candidates(sampled, 0).map((candidate, i) => {
       const { requests, slowness } = expected[i] ?? { requests: candidate.work.requests, slowness: 1 }
-      return { ...candidate, expectedMs: slowness * this._expectedMs(candidate.record, { requests, tokens: requests * tokensPerRequest }, tokens) }
+      return { ...candidate, expectedMs: slowness * this._expectedMs(candidate.record, { requests, tokens: 0 }, 0) }
     })
     const ranked = this._ranking.rank(candidates, zone, random)
     const best = candidates.findIndex(({ record }) => record === ranked[0])
@@ -175,12 +174,6 @@
     return loadAgeMs() > 0 && state.directory.usable(service.name).some(({ id }) => reportedLoads.at(id) !== undefined)
   }
 
-  private _tokensPerRequest (records: readonly EndpointRecord[], tokens: number): number {
-    const work = records.map(({ id }) => this._context.load.at(id))
-    const requests = work.reduce((sum, { requests }) => sum + requests, 0)
-    return requests === 0 ? tokens : work.reduce((sum, { tokens }) => sum + tokens, 0) / requests
-  }
-
   private _logChoice ({ id }: GatewayRequest, candidate: Candidate | undefined, known: KnownWork | undefined, expected: ExpectedWork | undefined): void {
     const { loadAgeMs, clock, log, metrics } = this._context
     if (candidate === undefined || known === undefined) return
--- a/packages/gateway/src/forwarding/JaymillPrefillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPrefillForwarder.ts
@@ -138,20 +138,19 @@
   }
 
   protected override _expectedMs ({ id, service, stage }: EndpointRecord, work: OutstandingWork, tokens: number): number {
-    const { latencyModel, loadAgeMs, clock } = this._context
+    const { latencyModel, clock } = this._context
     if (stage === EngineRole.Prefill) {
       return latencyModel.expectedMs({ group: prefillGroup(service), endpointId: id }, work.tokens + tokens, PREFILL_INITIAL_TOKEN_MS, clock.nowMs())
     }
-    const slowness = loadAgeMs() > 0 ? latencyModel.factor(id, clock.nowMs()) : 1
-    return (work.tokens + tokens) * DECODE_TOKEN_MS * slowness
+    return (work.tokens + tokens) * DECODE_TOKEN_MS
   }
 
   /** Returns the engines that don't work on the request already, best first. */
   protected _rankedEngines (request: GatewayRequest, role: EngineRole, { avoidedIds, busyIds }: PromptProgress): readonly EndpointRecord[] {
     const pool = this._pool(request, role).filter(({ id }) => !busyIds.has(id))
     const preferred = pool.filter(({ id }) => !avoidedIds.has(id))
-    const records = preferred.length > 0 ? preferred : pool
-    return role === EngineRole.Prefill ? this._rankExpected(request, records, promptTokensOf(request)) : this._rank(request, records, kvTokensOf(request))
+    const tokens = role === EngineRole.Prefill ? promptTokensOf(request) : kvTokensOf(request)
+    return this._rank(request, preferred.length > 0 ? preferred : pool, tokens)
   }
 
   protected _pool (request: GatewayRequest, role: EngineRole): readonly EndpointRecord[] {
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -13,7 +13,7 @@
 /** Share of the latency target for which a request waits until an endpoint with a rate limit may get it. */
 export const RATE_LIMIT_WAIT_SHARE = 0.5
 
-/** Random sample of endpoints that are compared by their expected work; more of them would send too much to the fastest ones. */
+/** Size of the random sample of endpoints that are compared by their expected work. */
 export const EXPECTED_SAMPLED_ENDPOINTS = 4
 
 /** Assumed duration of a request at a plain service without measurements, in milliseconds. */
--- a/packages/gateway/src/peers/JaymillHostHeartbeats.ts
+++ b/packages/gateway/src/peers/JaymillHostHeartbeats.ts
@@ -41,7 +41,7 @@
   readonly log: GatewayLog
 }
 
-const NO_WORK: ReportedWork = { scope: WorkScope.None, part: 0, parts: 1, load: [], factors: [], directPrefills: [], demand: [], changing: [] }
+const NO_WORK: ReportedWork = { scope: WorkScope.None, part: 0, parts: 1, load: [], directPrefills: [], demand: [], changing: [] }
 const LIVE_HOSTS: ReportedWork = { ...NO_WORK, scope: WorkScope.Hosts }
 
 /**
@@ -311,14 +311,13 @@
   }
 
   private _ownWork (): ReportedWork {
-    const { work: { load, latencyModel, directPrefills, demand, roleChanges }, clock } = this._context
+    const { work: { load, directPrefills, demand, roleChanges }, clock } = this._context
     const nowMs = clock.nowMs()
     return {
       scope: WorkScope.Host,
       part: 0,
       parts: 1,
       load: load.own(),
-      factors: this.usesRelays ? latencyModel.shares([], nowMs) : [],
       directPrefills: directPrefills.own(),
       demand: demand.own(nowMs),
       changing: roleChanges.own(nowMs)
--- a/packages/gateway/src/peers/JaymillHostMessage.ts
+++ b/packages/gateway/src/peers/JaymillHostMessage.ts
@@ -1,6 +1,6 @@
 import { decode, encode } from '@msgpack/msgpack'
-import { QuotaScope, type AccountUse, type CrashReport, type DemandShare, type EndpointChange, type FactorShare, type LoadShare, type ReportedRateLimit } from '@jaymill/core'
-import { MAX_ACCOUNT_USES, MAX_HOST_LIMITS, MAX_REPORTED_CALLS } from './constants.js'
+import { QuotaScope, type AccountUse, type CrashReport, type DemandShare, type EndpointChange, type LoadShare, type ReportedRateLimit } from '@jaymill/core'
+import { MAX_ACCOUNT_USES, MAX_HOST_LIMITS } from './constants.js'
 import { packAddresses, unpackAddresses } from './JaymillPackedAddresses.js'
 
 /** Hosts of one availability zone. */
@@ -41,8 +41,6 @@
   readonly parts: number
   /** Running work at each endpoint. */
   readonly load: readonly LoadShare[]
-  /** How long the calls of endpoints took, relative to those of similar ones; only of a large fleet. */
-  readonly factors: readonly FactorShare[]
   /** Prefills on decode engines. */
   readonly directPrefills: readonly LoadShare[]
   /** Demand of callers for each service; only in the first part. */
@@ -99,7 +97,6 @@
 
 const RATE_DECIMALS = 100
 const LEVEL_DECIMALS = 1_000
-const FACTOR_DECIMALS = 10
 
 type WireShare = readonly [endpointId: string, requests: number, tokens: number]
 type WireDemand = readonly [service: string, promptRate: number, kvRate: number, waitingTokens: number]
@@ -107,11 +104,9 @@
 type WireWork = readonly [
   scope: number, part: number, parts: number, load: readonly WireShare[], directPrefills: readonly WireShare[],
   demand: readonly WireDemand[], changing: readonly string[], crashes: WireCrashes | null, limits: readonly WireLimit[],
-  quotas: WireQuotas | null, factors: readonly WireFactor[]
+  quotas: WireQuotas | null
 ]
 
-type WireFactor = readonly [endpointId: string, calls: number, factors: number]
-
 /** The level is `null` when it is not known. */
 type WireUse = readonly [account: string, used: number, demandPerS: number, recent: number, level: number | null]
 type WireQuotas = readonly [scope: QuotaScope, uses: readonly WireUse[]]
@@ -119,7 +114,7 @@
 /** `null` for a limit that has been lifted. */
 type WireLimit = readonly [endpointId: string, perS: number | null, ageMs: number, sent: number]
 
-/** Follows the work, as all that comes behind them does, since hosts of earlier versions refuse further elements of a message but ignore them there. */
+/** Follows the work, as the limits and the quotas do, since hosts of earlier versions refuse further elements of a message but ignore them there. */
 type WireCrashes = readonly [
   crashes: CrashReport['crashes'], quarantined: CrashReport['quarantined'], provenParts: CrashReport['provenParts'],
   provenRequests: CrashReport['provenRequests']
@@ -171,7 +166,7 @@
 
 function toMessage (wire: WireMessage): HostMessage {
   const [, from, zone, born, seq, connected, ask, leaving, config, revision, graceMs, fence, batches, hosts, work] = wire
-  const [scope, part, parts, load, directPrefills, demand, changing, crashes, limits, quotas, factors] = work
+  const [scope, part, parts, load, directPrefills, demand, changing, crashes, limits, quotas] = work
   return {
     from,
     zone,
@@ -188,16 +183,7 @@
     hosts: hosts.map(([name, addresses, connectedAddresses]) => (
       { zone: name, addresses: unpackAddresses(addresses), connected: unpackAddresses(connectedAddresses) }
     )),
-    work: {
-      scope,
-      part,
-      parts,
-      load: load.map(toShare),
-      factors: Array.isArray(factors) ? factors.filter(isWireFactor).map(toFactor) : [],
-      directPrefills: directPrefills.map(toShare),
-      demand: demand.map(toDemand),
-      changing: [...changing]
-    },
+    work: { scope, part, parts, load: load.map(toShare), directPrefills: directPrefills.map(toShare), demand: demand.map(toDemand), changing: [...changing] },
     ...(Array.isArray(crashes) ? { crashes: toCrashReport(crashes as WireCrashes) } : {}),
     limits: Array.isArray(limits) ? limits.slice(0, MAX_HOST_LIMITS).filter(isWireLimit).map(toLimit) : [],
     ...(isWireQuotas(quotas) ? { quotas: toQuotas(quotas) } : {})
@@ -210,21 +196,10 @@
     scope, part, parts, work.load.map(toWireShare), work.directPrefills.map(toWireShare), work.demand.map(toWireDemand), changing,
     crashes === undefined ? null : [crashes.crashes, crashes.quarantined, crashes.provenParts, crashes.provenRequests],
     limits.map(({ endpointId, perS, ageMs, sent }) => [endpointId, perS ?? null, Math.round(ageMs), sent]),
-    quotas === undefined ? null : [quotas.scope, quotas.uses.map(toWireUse)],
-    work.factors.map(({ endpointId, calls, factors }) => [endpointId, Math.round(calls * FACTOR_DECIMALS), Math.round(factors * FACTOR_DECIMALS)])
+    quotas === undefined ? null : [quotas.scope, quotas.uses.map(toWireUse)]
   ]
 }
 
-function isWireFactor (factor: unknown): factor is WireFactor {
-  if (!Array.isArray(factor)) return false
-  const [endpointId, calls, factors] = factor as readonly unknown[]
-  return typeof endpointId === 'string' && [calls, factors].every(value => typeof value === 'number' && value >= 0 && value <= MAX_REPORTED_CALLS)
-}
-
-function toFactor ([endpointId, calls, factors]: WireFactor): FactorShare {
-  return { endpointId, calls: calls / FACTOR_DECIMALS, factors: factors / FACTOR_DECIMALS }
-}
-
 function toWireUse ({ account, used, demandPerS, recent, level }: AccountUse): WireUse {
   return [account, Math.round(used), Math.round(demandPerS * RATE_DECIMALS), Math.round(recent), level === undefined ? null : Math.round(level * LEVEL_DECIMALS)]
 }
--- a/packages/gateway/src/peers/JaymillZoneRelay.ts
+++ b/packages/gateway/src/peers/JaymillZoneRelay.ts
@@ -1,5 +1,5 @@
 import {
-  RELAY_TIMEOUT_MS, type Clock, type EndpointLoad, type FactorShare, type LoadShare, type PendingRoleChanges, type PromptDemand, type ServiceLatencyModel, type SourceReader
+  RELAY_TIMEOUT_MS, type Clock, type EndpointLoad, type LoadShare, type PendingRoleChanges, type PromptDemand, type SourceReader
 } from '@jaymill/core'
 import { MAX_SHARES_PER_MESSAGE, ZONE_DIGEST_TIMEOUT_MS } from './constants.js'
 import { WorkScope, type HostMessage, type ReportedWork, type ZoneHosts } from './JaymillHostMessage.js'
@@ -10,7 +10,6 @@
   readonly load: EndpointLoad
   /** Prefills on decode engines. */
   readonly directPrefills: EndpointLoad
-  readonly latencyModel: ServiceLatencyModel
   readonly demand: PromptDemand
   readonly roleChanges: PendingRoleChanges
 }
@@ -136,12 +135,12 @@
   }
 
   private _sum (scope: WorkScope, sources: readonly string[]): readonly ReportedWork[] {
-    const { load, latencyModel, directPrefills, demand, roleChanges } = this._work
+    const { load, directPrefills, demand, roleChanges } = this._work
     const nowMs = this._clock.nowMs()
-    const chunks = inChunks(byEndpoint(load.sum(sources)), byEndpoint(latencyModel.shares(sources, nowMs)))
+    const chunks = inChunks([...load.sum(sources)].sort((a, b) => a.endpointId < b.endpointId ? -1 : 1))
     const first = { directPrefills: directPrefills.sum(sources), demand: demand.sum(sources, nowMs), changing: roleChanges.sum(sources, nowMs) }
     const rest = { directPrefills: [], demand: [], changing: [] }
-    return chunks.map((chunk, part) => ({ scope, part, parts: chunks.length, ...chunk, ...(part === 0 ? first : rest) }))
+    return chunks.map((shares, part) => ({ scope, part, parts: chunks.length, load: shares, ...(part === 0 ? first : rest) }))
   }
 
   private _forget (key: string): void {
@@ -158,7 +157,6 @@
  */
 export function applyWork (state: WorkState, source: string, work: ReportedWork): void {
   state.load.update(source, work.load)
-  state.latencyModel.update(source, work.factors)
   if (work.part > 0) return
   state.directPrefills.update(source, work.directPrefills)
   state.demand.update(source, work.demand)
@@ -173,7 +171,6 @@
  */
 export function forgetWork (state: WorkState, source: string): void {
   state.load.forget(source)
-  state.latencyModel.update(source, [])
   state.directPrefills.forget(source)
   state.demand.update(source, [])
   state.roleChanges.update(source, [])
@@ -197,14 +194,9 @@
   return Array.from({ length: parts }, (_, part) => partKey(name, part))
 }
 
-function byEndpoint<T extends { readonly endpointId: string }> (shares: readonly T[]): readonly T[] {
-  return [...shares].sort((a, b) => a.endpointId < b.endpointId ? -1 : 1)
-}
-
-function inChunks (load: readonly LoadShare[], factors: readonly FactorShare[]): ReadonlyArray<Pick<ReportedWork, 'load' | 'factors'>> {
-  const count = Math.max(1, Math.ceil((load.length + factors.length) / MAX_SHARES_PER_MESSAGE))
-  const chunkOf = <T>(shares: readonly T[], i: number): readonly T[] => shares.slice(Math.floor(i * shares.length / count), Math.floor((i + 1) * shares.length / count))
-  return Array.from({ length: count }, (_, i) => ({ load: chunkOf(load, i), factors: chunkOf(factors, i) }))
+function inChunks (shares: readonly LoadShare[]): ReadonlyArray<readonly LoadShare[]> {
+  const count = Math.max(1, Math.ceil(shares.length / MAX_SHARES_PER_MESSAGE))
+  return Array.from({ length: count }, (_, i) => shares.slice(i * MAX_SHARES_PER_MESSAGE, (i + 1) * MAX_SHARES_PER_MESSAGE))
 }
 
 function byZone (hosts: readonly SourceReader[]): readonly ZoneHosts[] {
--- a/packages/gateway/src/peers/constants.ts
+++ b/packages/gateway/src/peers/constants.ts
@@ -16,10 +16,7 @@
 /** Time after which the digest of another zone is dropped, in milliseconds; some lost ones. */
 export const ZONE_DIGEST_TIMEOUT_MS = 5_000
 
-/** Largest number in a report of how long the calls of an endpoint took; messages with larger ones are malformed there. */
-export const MAX_REPORTED_CALLS = 1_000_000
-
-/** Endpoints whose work or speed one message reports; keeps a digest within one datagram. */
+/** Endpoints whose work one message reports; keeps a digest within one datagram. */
 export const MAX_SHARES_PER_MESSAGE = 60
 
 /** Maximum number of rate limits of endpoints in the report of a host; keeps it within one datagram. */
