Quotas: count restarted hosts' recent use, cheaper merges, longer times to return

Found in review. A host that restarts was a new process, of which the first report counted nothing; now what it has admitted lately counts, as for a host that is new. Retry-After was cut at the window also when the request alone takes longer at the account's rate; now it is true then too.

--- a/packages/core/src/gateway/JaymillQuotaLedger.ts
+++ b/packages/core/src/gateway/JaymillQuotaLedger.ts
@@ -47,6 +47,8 @@
   readonly atMs: number
   /** Time for which this host had admitted requests until then, in milliseconds. */
   readonly openMs: number
+  /** Whether there was no report for so long that it no longer counts. */
+  isOutdated: boolean
 }
 
 /**
@@ -71,6 +73,8 @@
   /** Follows the latest units by the same decay: reports are often sent right after a request, when these peak. */
   private _ownDemandPerS = 0
   private _othersDemandPerS = 0
+  /** Whether the level comes from a relay, so that it must not be reported as this host's own count. */
+  private _followsFleet = false
   private _used = 0
   private _zoneUsed = 0
   private _promisedUntilMs = 0
@@ -152,7 +156,7 @@
    *
    * @param units - Cost of the request.
    * @param nowMs - Monotonic time in milliseconds.
-   * @returns Time until then, in milliseconds; at most the window of the quota.
+   * @returns Time until then, in milliseconds; at most the window of the quota, unless the request alone takes longer.
    */
   retryAfterMs (units: number, nowMs: number): number {
     this._advance(nowMs)
@@ -160,7 +164,8 @@
     const ownRatePerS = this._ratePerS * ownDemandPerS / Math.max(ownDemandPerS, this.demandPerS)
     const overdraftMs = Math.max(0, -this._level) * MS_PER_SECOND / this._ratePerS
     const coveredMs = Math.max(nowMs + overdraftMs, this._promisedUntilMs) + units * MS_PER_SECOND / ownRatePerS
-    this._promisedUntilMs = Math.min(nowMs + this._windowMs, coveredMs)
+    const longestMs = Math.max(this._windowMs, overdraftMs + units * MS_PER_SECOND / this._ratePerS)
+    this._promisedUntilMs = Math.min(nowMs + longestMs, coveredMs)
     return this._promisedUntilMs - nowMs
   }
 
@@ -190,14 +195,15 @@
     this._advance(nowMs)
     if (!this._share.countsOthers) return
     const isFleet = scope === QuotaScope.Fleet
-    ;[...this._sources].filter(([, known]) => isFleet !== (known.scope === QuotaScope.Fleet)).forEach(([name]) => this._sources.delete(name))
+    if (isFleet !== this._followsFleet) this._clearSources()
+    this._followsFleet = isFleet
     const before = this._sources.get(source)
+    const comparable = before?.process === process ? before : undefined
+    if (scope === QuotaScope.Host || (!isFleet && comparable !== undefined)) this._count(scope, comparable, use)
     const sinceMs = nowMs - (before?.atMs ?? nowMs)
-    const isComparable = before?.process === process || (before === undefined && scope === QuotaScope.Host)
-    if (!isFleet && isComparable) this._count(scope, before, use, nowMs)
     const demandPerS = isFleet ? Math.max(0, use.demandPerS - this._ownDemandPerS) : use.demandPerS
-    this._sources.set(source, { scope, process, used: use.used, demandPerS, atMs: nowMs, openMs: this._openMs })
-    this._sumDemand(nowMs)
+    this._sources.set(source, { scope, process, used: use.used, demandPerS, atMs: nowMs, openMs: this._openMs, isOutdated: false })
+    this._othersDemandPerS += demandPerS - (before === undefined || before.isOutdated ? 0 : before.demandPerS)
     if (use.level !== undefined) this._converge(use.level, isFleet || nowMs - this._startedMs < QUOTA_LEVEL_AGE_MS, sinceMs)
   }
 
@@ -209,7 +215,7 @@
    */
   expire (nowMs: number): boolean {
     this._advance(nowMs)
-    this._sumDemand(nowMs)
+    this._expireSources(nowMs)
     return this._sources.size === 0 && nowMs - this._lastAskedMs > QUOTA_MEMORY_MS && this._level >= this._depth
   }
 
@@ -231,13 +237,12 @@
   }
 
   private get _zoneDemandPerS (): number {
-    const hosts = this._recentSources(this._atMs).filter(({ scope }) => scope === QuotaScope.Host)
+    const hosts = this._recentSources.filter(({ scope }) => scope === QuotaScope.Host)
     return hosts.reduce((sum, { demandPerS }) => sum + demandPerS, this._ownDemandPerS)
   }
 
-  /** Whether the level comes from a relay, so that it must not be reported as this host's own count. */
-  private get _followsFleet (): boolean {
-    return [...this._sources.values()].some(({ scope }) => scope === QuotaScope.Fleet)
+  private get _recentSources (): readonly ReportedUse[] {
+    return [...this._sources.values()].filter(({ isOutdated }) => !isOutdated)
   }
 
   private _isIdle (demandPerS: number): boolean {
@@ -264,8 +269,8 @@
   }
 
   /** Counts what a source has used since its last report. After a long silence, only what is recent counts. */
-  private _count (scope: QuotaScope, before: ReportedUse | undefined, use: AccountUse, nowMs: number): void {
-    const isSilent = before === undefined || isOutdated(before, nowMs)
+  private _count (scope: QuotaScope, before: ReportedUse | undefined, use: AccountUse): void {
+    const isSilent = before === undefined || before.isOutdated
     const since = use.used - (before?.used ?? 0)
     const counted = isSilent ? Math.min(since, use.recent) : since
     const estimated = isSilent ? 0 : before.demandPerS * (this._openMs - before.openMs) / MS_PER_SECOND
@@ -278,17 +283,15 @@
     this._level = this._bounded(this._level + weight * (reportedShare * this._depth - this._level))
   }
 
-  private _sumDemand (nowMs: number): void {
-    const forgotten = [...this._sources].filter(([, { atMs }]) => nowMs - atMs > QUOTA_MEMORY_MS)
-    forgotten.forEach(([name]) => this._sources.delete(name))
-    this._othersDemandPerS = this._recentSources(nowMs).reduce((sum, { demandPerS }) => sum + demandPerS, 0)
+  private _clearSources (): void {
+    this._sources.clear()
+    this._othersDemandPerS = 0
   }
 
-  private _recentSources (nowMs: number): readonly ReportedUse[] {
-    return [...this._sources.values()].filter(source => !isOutdated(source, nowMs))
+  private _expireSources (nowMs: number): void {
+    const sources = [...this._sources]
+    sources.filter(([, { atMs }]) => nowMs - atMs > QUOTA_MEMORY_MS).forEach(([name]) => this._sources.delete(name))
+    sources.filter(([, { atMs }]) => nowMs - atMs > QUOTA_SOURCE_TTL_MS).forEach(([, source]) => { source.isOutdated = true })
+    this._othersDemandPerS = this._recentSources.reduce((sum, { demandPerS }) => sum + demandPerS, 0)
   }
 }
-
-function isOutdated ({ atMs }: ReportedUse, nowMs: number): boolean {
-  return nowMs - atMs > QUOTA_SOURCE_TTL_MS
-}
