--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -28,6 +28,23 @@
 /** Random jitter added to each cost, in milliseconds; keeps hosts with the same information from choosing the same endpoint. */
 export const RANKING_JITTER_MS = 1
 
+/** Calls that a reported factor of an endpoint stands for at least, and how far it differs from 1 at least; keep reports small. */
+export const REPORTED_FACTOR_MIN_CALLS = 0.3
+export const REPORTED_FACTOR_DEVIATION = 0.1
+
+/** Largest number of requests in the reported load of an endpoint; larger ones are taken as this. */
+export const REPORTED_REQUESTS_MAX = 100_000
+
+/** Smallest and largest reported duration of work, relative to the usual one. */
+export const REPORTED_SLOWNESS_MIN = 0.1
+export const REPORTED_SLOWNESS_MAX = 10
+
+/** Time in which the load that an endpoint has reported loses two thirds of its meaning (1/e remains), in milliseconds; several requests. */
+export const REPORTED_LOAD_MEMORY_MS = 500
+
+/** Share of a difference between endpoints in the reports of hosts that is expected to last; the rest is chance. */
+export const REPORTED_WORK_SHARE = 0.25
+
 /** Time in which the weight of a call in an endpoint's latency factor decays to about a third (1/e), in milliseconds. */
 export const LATENCY_FACTOR_DECAY_MS = 6_000
 
@@ -105,6 +122,27 @@
 /** Longest retry delay for a refused caller, in milliseconds; callers wait for up to a third of their time limit. */
 export const RETRY_AFTER_MAX_MS = 4_000
 
+/** Largest random change of a retry delay, as a share; callers that were refused within a second return over as long. */
+export const RETRY_SPREAD = 0.25
+
+/** Part of the callers that have come back whose last chance counts as most urgent. */
+export const PROTECTED_SHARE = 0.25
+
+/** Part of a pool's KV cache in use from which less urgent requests yield. */
+export const FULL_KV_SHARE = 0.8
+
+/** Time over which the parts of ranks and accounts in the demand are averaged, in milliseconds. */
+export const DEMAND_SHARE_MS = 8_000
+
+/** Demand below which nothing is known of it, in KV cache tokens. */
+export const MIN_DEMAND_TOKENS = 1
+
+/** Demand of an account above which it yields, as a multiple of an equal part. */
+export const ACCOUNT_PART_FACTOR = 2
+
+/** Number of recent requests of an account from which its part is known. */
+export const ACCOUNT_MIN_REQUESTS = 4
+
 /** Assumed KV cache holding time before the first measurement, in milliseconds; a response of some hundred tokens. */
 export const HOLDING_TIME_INITIAL_MS = 3_500
 
--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,8 +1,9 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange, type RateShare
+  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits,
+  EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges, PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads,
+  RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import type { GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
@@ -34,7 +35,7 @@
 import type { WorkState } from './peers/JaymillZoneRelay.js'
 import type { EngineControl } from './ports/JaymillEngineControl.js'
 import type { FleetSource } from './ports/JaymillFleetSource.js'
-import type { WireDialect } from './ports/JaymillWireDialect.js'
+import type { ResponseMetadata, WireDialect } from './ports/JaymillWireDialect.js'
 
 /** Adapters that a gateway runs with. */
 export interface GatewayAdapters {
@@ -89,7 +90,13 @@
     this._settings = settings
     this._adapters = adapters
     const { clock, random, log, source } = adapters
-    const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
+    const work = {
+      load: new EndpointLoad(),
+      directPrefills: new EndpointLoad(),
+      latencyModel: new ServiceLatencyModel(),
+      demand: new PromptDemand(),
+      roleChanges: new PendingRoleChanges()
+    }
     const quarantine = new CrashQuarantine()
     const limits = new EndpointRateLimits()
     const { quotaWindowSeconds, quotaOverage } = settings.bounds
@@ -151,7 +158,9 @@
     const { calls, dialect } = this._adapters
     calls.onResponse(({ endpoint, requestId, ownConnection }, { status, headers }) => {
       this._forwardingContext.reachability.responded(endpoint, ownConnection)
-      this._forwardingContext.admission.responded(endpoint, requestId, dialect.responseMetadata(status, headers))
+      const metadata = dialect.responseMetadata(status, headers)
+      this._forwardingContext.admission.responded(endpoint, requestId, metadata)
+      this._loadReported(endpoint, metadata)
     })
     calls.onFailure(({ endpoint }, failure) => {
       const connecting = failure === ExchangeFailure.Connect
@@ -190,7 +199,7 @@
     this._abort.abort()
   }
 
-  private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
+  private _createForwardingContext ({ load, directPrefills, latencyModel, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, random, log, signal: this._abort.signal })
@@ -225,9 +234,10 @@
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
       peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
+      reportedLoads: new ReportedLoads(),
       quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reliability: new EndpointReliability(),
-      latencyModel: new ServiceLatencyModel(),
+      latencyModel,
       budget,
       hostCount,
       plannedStop: () => this._plannedStop,
@@ -283,6 +293,15 @@
     this._forwardingContext.admission.forget(record)
     this._forwardingContext.reliability.forget(record.id)
     this._forwardingContext.latencyModel.forget(record.id)
+    this._forwardingContext.reportedLoads.forget(record.id)
+  }
+
+  /** Decode engines of a large fleet are too many for a host to measure their speed, so the one that they report is shared. */
+  private _loadReported ({ id, stage }: EndpointRecord, { load: reported }: ResponseMetadata): void {
+    const { reportedLoads, latencyModel, load, loadAgeMs, clock } = this._forwardingContext
+    if (reported === undefined) return
+    reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
+    if (stage === EngineRole.Decode && loadAgeMs() > 0) latencyModel.addFactor(id, reported.slowness, clock.nowMs())
   }
 
   private _watchMetrics (): void {
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,12 +1,16 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { CallOutcome, type Candidate, type EndpointRanking, type EndpointRecord, ErrorKind, ExpectedTimeRanking, isIdempotent, type OutstandingWork, RequestError, type RetryCharge, sampleEndpoints, sampleSize } from '@jaymill/core'
+import {
+  CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, REPORTED_LOAD_MEMORY_MS, RequestError, sampleEndpoints, sampleSize,
+  serviceRanks,
+  type Candidate, type EndpointRanking, type EndpointRecord, type ExpectedWork, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
+} from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
 import { checkAccount } from '../callers/JaymillCallerAccount.js'
 import { forwardedHeaders } from '../callers/JaymillCallerResponse.js'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { EndpointCall } from '../endpoints/JaymillEndpointCalls.js'
 import type { CallMetadata } from '../ports/JaymillWireDialect.js'
-import { PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
+import { EXPECTED_SAMPLED_ENDPOINTS, PLAIN_INITIAL_MS, RATE_LIMIT_WAIT_SHARE } from './constants.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
 import { chargeRetry, recordRetry, type RetriedCall } from './JaymillRetryRecord.js'
 
@@ -16,6 +20,7 @@
 export abstract class Forwarder {
   protected readonly _context: ForwardingContext
   protected readonly _ranking: EndpointRanking
+  private readonly _forecast: WorkForecast = new LateReportForecast()
 
   /**
    * @param context - Components of the host.
@@ -39,7 +44,7 @@
     const { req, body, account } = request
     const headers = forwardedHeaders(request, this._context)
     const accountMetadata = account === undefined ? {} : { account: account.name }
-    const callHeaders = dialect.callHeaders({ ...metadata, ...accountMetadata, endpointId: endpoint.id, deadlineMs: this._remainingMs(request) })
+    const callHeaders = dialect.callHeaders({ ...metadata, ...accountMetadata, ...this._rankMetadata(request), endpointId: endpoint.id, deadlineMs: this._remainingMs(request) })
     return {
       endpoint,
       method: req.method ?? 'GET',
@@ -51,6 +56,12 @@
     }
   }
 
+  /** Endpoints get the rank only where their requests differ in it. */
+  private _rankMetadata ({ service, priority }: GatewayRequest): Pick<CallMetadata, 'priority'> {
+    const { config } = this._context.state
+    return config === undefined || serviceRanks(config, service.name).length <= 1 ? {} : { priority }
+  }
+
   protected _remainingMs ({ deadlineMs }: GatewayRequest): number {
     return Math.max(0, Math.floor(deadlineMs - this._context.clock.nowMs()))
   }
@@ -122,7 +133,7 @@
 
   private _takeEndpoint (request: GatewayRequest, triedIds: readonly string[]): EndpointRecord | undefined {
     const { admission } = this._context
-    const [endpoint] = this._rank(request, this._untried(request, triedIds).filter(record => admission.allows(record)), 0)
+    const [endpoint] = this._rankExpected(request, this._untried(request, triedIds).filter(record => admission.allows(record)), 0)
     if (endpoint !== undefined) admission.sent(endpoint)
     return endpoint
   }
@@ -136,6 +147,86 @@
     return this._context.admission.untilAllowedMs(this._untried(request, triedIds))
   }
 
+  /**
+   * Ranks endpoints whose calls are short, best first. While the work of other hosts is known late, endpoints that report their load
+   * are compared by the work that is to be expected there now.
+   */
+  protected _rankExpected (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
+    const { zone, random, reliability, clock } = this._context
+    if (!this._expectsWork(request)) return this._rank(request, records, tokens)
+    const nowMs = clock.nowMs()
+    const suspects = records.filter(({ id }) => reliability.isSuspect(id, nowMs))
+    const { sampled, rest } = sampleEndpoints(records.filter(record => !suspects.includes(record)), zone, EXPECTED_SAMPLED_ENDPOINTS, random)
+    const known = sampled.map(record => this._knownWork(record))
+    const expected = this._forecast.expect(known, nowMs, random)
+    const tokensPerRequest = this._tokensPerRequest(records, tokens)
+    const candidates = this._candidates(sampled, tokens).map((candidate, i) => {
+      const { requests, slowness } = expected[i] ?? { requests: candidate.work.requests, slowness: 1 }
+      return { ...candidate, expectedMs: slowness * this._expectedMs(candidate.record, { requests, tokens: requests * tokensPerRequest }, tokens) }
+    })
+    const ranked = this._ranking.rank(candidates, zone, random)
+    const best = candidates.findIndex(({ record }) => record === ranked[0])
+    this._logChoice(request, candidates[best], known[best], expected[best])
+    return [...ranked, ...rest, ...suspects]
+  }
+
+  private _expectsWork ({ service }: GatewayRequest): boolean {
+    const { loadAgeMs, reportedLoads, state } = this._context
+    return loadAgeMs() > 0 && state.directory.usable(service.name).some(({ id }) => reportedLoads.at(id) !== undefined)
+  }
+
+  private _tokensPerRequest (records: readonly EndpointRecord[], tokens: number): number {
+    const work = records.map(({ id }) => this._context.load.at(id))
+    const requests = work.reduce((sum, { requests }) => sum + requests, 0)
+    return requests === 0 ? tokens : work.reduce((sum, { tokens }) => sum + tokens, 0) / requests
+  }
+
+  private _logChoice ({ id }: GatewayRequest, candidate: Candidate | undefined, known: KnownWork | undefined, expected: ExpectedWork | undefined): void {
+    const { loadAgeMs, clock, log, metrics } = this._context
+    if (candidate === undefined || known === undefined) return
+    const { own, others, seen } = known
+    const seenAgeMs = seen === undefined ? undefined : clock.nowMs() - seen.atMs
+    metrics.recordChoice(seenAgeMs !== undefined && seenAgeMs < REPORTED_LOAD_MEMORY_MS)
+    log.request(id, 'endpoint chosen', {
+      endpoint: candidate.record.id,
+      expectedMs: Math.round(candidate.expectedMs),
+      expectedRequests: Math.round(expected?.requests ?? 0),
+      own,
+      others,
+      othersAgeMs: loadAgeMs(),
+      seenOthers: seen?.others,
+      seenSlowness: seen?.slowness,
+      seenAgeMs: seenAgeMs === undefined ? undefined : Math.round(seenAgeMs)
+    })
+  }
+
+  protected _knownWork ({ id }: EndpointRecord): KnownWork {
+    const { load, reportedLoads } = this._context
+    const own = load.ownAt(id).requests
+    return { own, others: load.at(id).requests - own, seen: reportedLoads.at(id) }
+  }
+
+  /**
+   * Refuses a request at once when each endpoint of its plain service has lately reported more work than it can end before the caller's
+   * deadline.
+   *
+   * @param request - A request that no endpoint has got.
+   * @throws RequestError when no endpoint can answer it in time.
+   */
+  protected _checkAnswerable (request: GatewayRequest): void {
+    const { clock, log, latencyModel } = this._context
+    const nowMs = clock.nowMs()
+    const times = this._untried(request, []).map(record => {
+      const serviceMs = latencyModel.expectedMs({ group: record.service, endpointId: record.id }, 1, PLAIN_INITIAL_MS, nowMs)
+      return earliestAnswerMs(this._knownWork(record), record.slots, serviceMs, nowMs)
+    })
+    const earliestMs = times.length === 0 ? 0 : Math.min(...times)
+    const remainingMs = this._remainingMs(request)
+    if (earliestMs <= remainingMs) return
+    log.request(request.id, 'no endpoint can answer in time', { earliestMs: Math.round(earliestMs), remainingMs, endpoints: times.length })
+    throw new RequestError(ErrorKind.Overloaded, 'no endpoint can answer before the deadline', { retryAfterMs: Math.max(BUSY_RETRY_AFTER_MS, earliestMs - remainingMs) })
+  }
+
   /** Ranks endpoints, best first. While the work of other hosts is known late, only a random sample is compared. */
   protected _rank (request: GatewayRequest, records: readonly EndpointRecord[], tokens: number): readonly EndpointRecord[] {
     const { zone, random, reliability, clock } = this._context
