--- a/packages/gateway/src/JaymillGateway.ts
+++ b/packages/gateway/src/JaymillGateway.ts
@@ -1,8 +1,9 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import {
-  AssignedRateShare, Clock, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits, EndpointReliability, FleetRetryBudget, PendingRoleChanges,
-  PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, RouteKind, ServiceLatencyModel, type DirectoryChange, type RateShare
+  AccountQuotas, AssignedRateShare, Clock, CountedQuotaShare, CountedRateShare, CrashQuarantine, DirectoryEvent, EndpointLoad, EndpointRateLimits,
+  EndpointReliability, EngineRole, FleetRetryBudget, PendingRoleChanges, PerZoneReaderSelection, PromptDemand, Random, RELAYED_LOAD_AGE_MS, ReportedLoads,
+  RouteKind, ServiceLatencyModel, type DirectoryChange, type EndpointRecord, type RateShare
 } from '@jaymill/core'
 import { processLimits, type GatewaySettings } from '@jaymill/settings'
 import { STOP_ACCEPT_MS, STOP_ESTIMATE_MS, STOP_MARGIN_MS, STOP_RESPONSE_MS } from './callers/constants.js'
@@ -10,6 +11,7 @@
 import { Ingress } from './callers/JaymillIngress.js'
 import { listenOn } from './callers/JaymillListener.js'
 import type { PlannedStop } from './callers/JaymillPlannedStop.js'
+import { QuotaGate } from './callers/JaymillQuotaGate.js'
 import { EndpointCalls } from './endpoints/JaymillEndpointCalls.js'
 import { ExchangeFailure } from './endpoints/JaymillExchangeError.js'
 import { FleetFollower } from './fleet/JaymillFleetFollower.js'
@@ -33,7 +35,7 @@
 import type { WorkState } from './peers/JaymillZoneRelay.js'
 import type { EngineControl } from './ports/JaymillEngineControl.js'
 import type { FleetSource } from './ports/JaymillFleetSource.js'
-import type { WireDialect } from './ports/JaymillWireDialect.js'
+import type { ResponseMetadata, WireDialect } from './ports/JaymillWireDialect.js'
 
 /** Adapters that a gateway runs with. */
 export interface GatewayAdapters {
@@ -70,6 +72,7 @@
   private readonly _state: FleetState
   private readonly _follower: FleetFollower
   private readonly _heartbeats: HostHeartbeats
+  private readonly _quotas: AccountQuotas
   private readonly _forwardingContext: ForwardingContext
   private readonly _ingress: Ingress
   private readonly _roleController: RoleController
@@ -87,9 +90,18 @@
     this._settings = settings
     this._adapters = adapters
     const { clock, random, log, source } = adapters
-    const work = { load: new EndpointLoad(), directPrefills: new EndpointLoad(), demand: new PromptDemand(), roleChanges: new PendingRoleChanges() }
+    const work = {
+      load: new EndpointLoad(),
+      directPrefills: new EndpointLoad(),
+      latencyModel: new ServiceLatencyModel(),
+      demand: new PromptDemand(),
+      roleChanges: new PendingRoleChanges()
+    }
     const quarantine = new CrashQuarantine()
     const limits = new EndpointRateLimits()
+    const { quotaWindowSeconds, quotaOverage } = settings.bounds
+    const quotas = new AccountQuotas(new CountedQuotaShare(quotaOverage), quotaWindowSeconds * MS_PER_SECOND)
+    this._quotas = quotas
     this._state = new FleetState(clock, log)
     const { host: { id, zone, address }, listen, bounds } = settings
     const timing = sourceTiming(bounds.configurationMs)
@@ -109,6 +121,7 @@
       onEvidence: () => this._forwardingContext.crashes.evidenceChanged(),
       limits,
       onLimits: news => this._forwardingContext.admission.reported(news),
+      quotas,
       connected,
       clock,
       log
@@ -125,7 +138,10 @@
     const signal = this._abort.signal
     setMaxListeners(MAX_ABORT_LISTENERS, signal)
     log.stateChange('started', { zone: host.zone, address: host.address, pid: process.pid })
-    this._state.onConfig(config => this._ingress.applyLimits(config), signal)
+    this._state.onConfig(config => {
+      this._ingress.applyLimits(config)
+      this._quotas.configure(config.accounts ?? [], clock.nowMs())
+    }, signal)
     this._state.onDirectory(change => this._directoryChanged(change), signal)
     this._state.onUpdate(origin => this._heartbeats.stateUpdated(origin), signal)
     this._follower.run(signal).catch((err: Error) => log.warn('source follower failed', { reason: err.message }))
@@ -142,7 +158,9 @@
     const { calls, dialect } = this._adapters
     calls.onResponse(({ endpoint, requestId, ownConnection }, { status, headers }) => {
       this._forwardingContext.reachability.responded(endpoint, ownConnection)
-      this._forwardingContext.admission.responded(endpoint, requestId, dialect.responseMetadata(status, headers))
+      const metadata = dialect.responseMetadata(status, headers)
+      this._forwardingContext.admission.responded(endpoint, requestId, metadata)
+      this._loadReported(endpoint, metadata)
     })
     calls.onFailure(({ endpoint }, failure) => {
       const connecting = failure === ExchangeFailure.Connect
@@ -181,7 +199,7 @@
     this._abort.abort()
   }
 
-  private _createForwardingContext ({ load, directPrefills, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
+  private _createForwardingContext ({ load, directPrefills, latencyModel, demand, roleChanges }: WorkState, quarantine: CrashQuarantine, limits: EndpointRateLimits): ForwardingContext {
     const { clock, random, log, dialect, calls, engines } = this._adapters
     const { retryRatio, retryMinimum, retryWindowSeconds } = this._settings.bounds
     const reachability = new ReachabilityMonitor({ state: this._state, calls, dialect, clock, random, log, signal: this._abort.signal })
@@ -216,8 +234,10 @@
       admission: new EndpointAdmission({ limits, clock, random, log, share: () => this._rateShare(), report: () => this._heartbeats.limitsChanged() }),
       reachability,
       peers: new PeerForwarder({ calls: peerCalls, reachability, budget, hostCount, clock, log, metrics: this._metrics }),
+      reportedLoads: new ReportedLoads(),
+      quotaGate: new QuotaGate({ quotas: this._quotas, clock, log, metrics: this._metrics, scheduleReport: () => this._heartbeats.scheduleSend() }),
       reliability: new EndpointReliability(),
-      latencyModel: new ServiceLatencyModel(),
+      latencyModel,
       budget,
       hostCount,
       plannedStop: () => this._plannedStop,
@@ -273,6 +293,15 @@
     this._forwardingContext.admission.forget(record)
     this._forwardingContext.reliability.forget(record.id)
     this._forwardingContext.latencyModel.forget(record.id)
+    this._forwardingContext.reportedLoads.forget(record.id)
+  }
+
+  /** Decode engines of a large fleet are too many for a host to measure their speed, so the one that they report is shared. */
+  private _loadReported ({ id, stage }: EndpointRecord, { load: reported }: ResponseMetadata): void {
+    const { reportedLoads, latencyModel, load, loadAgeMs, clock } = this._forwardingContext
+    if (reported === undefined) return
+    reportedLoads.record(id, reported, load.ownAt(id).requests, clock.nowMs())
+    if (stage === EngineRole.Decode && loadAgeMs() > 0) latencyModel.addFactor(id, reported.slowness, clock.nowMs())
   }
 
   private _watchMetrics (): void {
@@ -285,7 +314,8 @@
       outOfReach: () => this._forwardingContext.reachability.lostCount,
       heldBytes: () => this._ingress.heldBytes,
       waitingConnections: () => this._ingress.waitingConnections,
-      callerConnections: () => this._ingress.callerConnections
+      callerConnections: () => this._ingress.callerConnections,
+      accountsNearLimit: () => this._quotas.busyAccounts(this._adapters.clock.nowMs()).length
     })
   }
 
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -1,14 +1,16 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  chooseTarget, ErrorKind, hostCapacity, JaymillError, RequestError, type GatewayConfig, type GatewayRoute, type GatewayService, type HostCapacity, type ProcessLimits
+  chooseTarget, ErrorKind, hostCapacity, JaymillError, RequestError, type ClientAccount, type GatewayConfig, type GatewayRoute, type GatewayService, type HostCapacity, type ProcessLimits
 } from '@jaymill/core'
 import type { SocketAddress } from '@jaymill/settings'
 import type { Forwarder } from '../forwarding/JaymillForwarder.js'
 import type { ForwardingContext } from '../forwarding/JaymillForwardingContext.js'
+import type { RequestMetadata } from '../ports/JaymillWireDialect.js'
 import { CONNECTION_CHECK_MS, MEMORY_CHECK_MS, MEMORY_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS, PARSER_HEADER_BYTES, STALLED_CALLER_MS } from './constants.js'
 import type { BodyBuffer } from './JaymillBodyBuffer.js'
 import { readBody } from './JaymillBodyReader.js'
+import { accountOfCaller, accountOfForwarded } from './JaymillCallerAccount.js'
 import type { CallerConnection } from './JaymillCallerConnection.js'
 import { CallerConnections } from './JaymillCallerConnections.js'
 import { abortResponse, sendProblem } from './JaymillCallerResponse.js'
@@ -17,6 +19,7 @@
 import { checkHostHeader } from './JaymillHostHeader.js'
 import { HostMemory } from './JaymillHostMemory.js'
 import { listenOn } from './JaymillListener.js'
+import type { QuotaCharge } from './JaymillQuotaGate.js'
 import { runKeysOf } from './JaymillRequestKeys.js'
 import { refuseUnreadable } from './JaymillUnreadableRequest.js'
 import { UnreadResponse } from './JaymillUnreadResponse.js'
@@ -43,6 +46,11 @@
   readonly config: GatewayConfig
 }
 
+/** A routed request whose caller's key was checked. */
+interface AuthenticatedRequest extends RoutedRequest {
+  readonly account: ClientAccount | undefined
+}
+
 /** Listeners for callers and for requests that other hosts forward. Reads requests, matches them to routes and passes them to forwarders. */
 export class Ingress {
   private readonly _context: ForwardingContext
@@ -147,22 +155,46 @@
     connection.onEnd(res, () => { this._running.delete(running) })
     if (this._context.plannedStop() !== undefined) connection.endAfter(res)
     let body: BodyBuffer | null = null
+    let account: ClientAccount | undefined
+    let charge: QuotaCharge | undefined
     try {
       checkHostHeader(req)
       if (this._running.size > this._capacity.requests) throw new RequestError(ErrorKind.Overloaded, 'too many requests are in progress', { retryAfterMs: MEMORY_RETRY_AFTER_MS })
-      const { route, service, version, config } = fromPeer ? this._routeForwarded(req) : this._route(req)
+      const routed = fromPeer ? this._routeForwarded(req) : this._routeCaller(req, metadata)
+      const { route, service, version, config } = routed
+      account = routed.account
+      if (!fromPeer) charge = this._context.quotaGate.enter(account, metadata)
       const deadlineMs = this._startTimeLimit(running, route, metadata.deadlineMs)
       const { signal } = abort
       body = await readBody(req, { maxBytes: config.limits.maxBodyBytes, memory: connection.memory, signal, aborted: () => bodyTimeout(signal) })
       const bytes = body?.bytes ?? null
       const id = metadata.requestId
       if (id === undefined) throw new RequestError(ErrorKind.BadRequest, 'the request has no id')
-      const request = { id, req, res, route, service, metadata, priority: route.priority, keys: runKeysOf(req, bytes, metadata), version, body: bytes, unread: new UnreadResponse(connection, res), fromPeer, arrivedMs, deadlineMs, signal }
+      const request = {
+        id,
+        req,
+        res,
+        route,
+        service,
+        metadata,
+        ...(account === undefined ? {} : { account }),
+        hasAccounts: config.accounts !== undefined,
+        priority: account?.priority ?? route.priority,
+        keys: runKeysOf(req, bytes, metadata),
+        version,
+        body: bytes,
+        unread: new UnreadResponse(connection, res),
+        fromPeer,
+        arrivedMs,
+        deadlineMs,
+        signal
+      }
       const forwarder = this._selectForwarder(request)
-      forwarder.checkEndsBeforeStop(request, () => forwarder.durationMs(request))
+      forwarder.checkBeforeRun(request, () => forwarder.durationMs(request))
       await forwarder.forward(request)
     } catch (err) {
-      this._refuse(req, res, metadata.requestId, err, arrivedMs)
+      charge?.refused(err)
+      this._refuse(req, res, metadata.requestId, err, arrivedMs, account)
     } finally {
       if (body !== null) releaseBody(connection, body)
     }
@@ -191,14 +223,19 @@
     return { route, service, version: config.version, config }
   }
 
+  private _routeCaller (req: IncomingMessage, { accountKey }: RequestMetadata): AuthenticatedRequest {
+    const routed = this._route(req)
+    return { ...routed, account: accountOfCaller(this._context.state, routed.route, accountKey) }
+  }
+
   /** A host with an older configuration takes no forwarded request: its caller may have seen the newer one in force. */
-  private _routeForwarded (req: IncomingMessage): RoutedRequest {
+  private _routeForwarded (req: IncomingMessage): AuthenticatedRequest {
     const metadata = readForwardedMetadata(req.headers)
     if (this._context.state.version < metadata.configVersion) {
       throw new RequestError(ErrorKind.NotReady, 'the configuration of this host is older', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     }
     const routed = this._route(req, true)
-    return { ...routed, route: limitAttempts(routed.route, metadata) }
+    return { ...routed, route: limitAttempts(routed.route, metadata), account: accountOfForwarded(this._context.state, routed.route, metadata) }
   }
 
   /**
@@ -218,16 +255,23 @@
     return arrivedMs + ms
   }
 
-  private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, err: unknown, arrivedMs: number): void {
+  private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, err: unknown, arrivedMs: number, account: ClientAccount | undefined): void {
     const failure = err instanceof JaymillError ? err : new RequestError(ErrorKind.Invariant, 'internal error', { cause: err })
     if (!(err instanceof JaymillError)) this._context.log.warn('request failed unexpectedly', { requestId: id, reason: String(err) })
     const ms = Math.round(this._context.clock.nowMs() - arrivedMs)
     this._context.metrics.recordRefusal(failure.kind)
     this._context.log.request(id ?? '', 'refused', {
-      status: failure.status, kind: failure.kind, reason: failure.message, retryAfterMs: failure.retryAfterMs, config: this._context.state.version, ms
+      status: failure.status,
+      kind: failure.kind,
+      reason: failure.message,
+      retryAfterMs: failure.retryAfterMs,
+      account: account?.name,
+      config: this._context.state.version,
+      ms
     })
-    if (!req.complete) res.setHeader('Connection', 'close')
-    sendProblem(res, id, failure)
+    const bodyArrives = !req.complete && announcesBody(req)
+    if (bodyArrives) res.setHeader('Connection', 'close')
+    sendProblem(res, id, failure, bodyArrives)
   }
 
   private _drop (req: IncomingMessage, res: ServerResponse, err: unknown): void {
@@ -248,6 +292,11 @@
   return new RequestError(ErrorKind.RequestTimeout, 'the body did not arrive in time')
 }
 
+/** Node.js marks a request without a body as complete only after its handler was called. */
+function announcesBody ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /** Nothing reads the body of a request that has been forwarded. */
 function releaseBody ({ memory }: CallerConnection, body: BodyBuffer): void {
   memory.addBody(-body.capacity)
--- a/packages/gateway/src/forwarding/JaymillForwardingContext.ts
+++ b/packages/gateway/src/forwarding/JaymillForwardingContext.ts
@@ -1,5 +1,6 @@
-import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ServiceLatencyModel } from '@jaymill/core'
+import type { Clock, EndpointLoad, EndpointReliability, FleetRetryBudget, PendingRoleChanges, PromptDemand, Random, ReportedLoads, ServiceLatencyModel } from '@jaymill/core'
 import type { PlannedStop } from '../callers/JaymillPlannedStop.js'
+import type { QuotaGate } from '../callers/JaymillQuotaGate.js'
 import type { EndpointCalls } from '../endpoints/JaymillEndpointCalls.js'
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { GatewayLog } from '../logging/JaymillGatewayLog.js'
@@ -25,6 +26,8 @@
   readonly load: EndpointLoad
   /** Prompt tokens that decode engines prefill themselves. */
   readonly directPrefills: EndpointLoad
+  /** Load that endpoints have reported in their responses to this host. */
+  readonly reportedLoads: ReportedLoads
   readonly reliability: EndpointReliability
   readonly latencyModel: ServiceLatencyModel
   readonly budget: FleetRetryBudget
@@ -34,6 +37,7 @@
   readonly admission: EndpointAdmission
   readonly reachability: ReachabilityMonitor
   readonly peers: PeerForwarder
+  readonly quotaGate: QuotaGate
   /** Number of hosts that share the retry budget. */
   readonly hostCount: () => number
   /** Planned stop of this host; `undefined` unless it is shutting down. */
--- a/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
+++ b/packages/gateway/src/metrics/JaymillGatewayMetrics.ts
@@ -7,6 +7,15 @@
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 4, 8, 16]
 const MS_PER_SECOND = 1_000
 
+/** What became of a request that needed capacity at the engines. */
+export interface CapacityLabels {
+  readonly service: string
+  /** Rank of the request; 0 is the most urgent. */
+  readonly rank: number
+  /** `reserved`, the reason of its refusal, or `ended` when its caller left or another host serves it. */
+  readonly outcome: string
+}
+
 /** Values that are read when metrics are collected. */
 export interface GatewayGauges {
   readonly running: () => number
@@ -20,6 +29,7 @@
   /** Connections whose body is not read for now. */
   readonly waitingConnections: () => number
   readonly callerConnections: () => number
+  readonly accountsNearLimit: () => number
 }
 
 /** Metrics of one host. Labels are kinds and outcomes, never ids. */
@@ -28,28 +38,46 @@
   private readonly _responses: Counter
   private readonly _refusals: Counter
   private readonly _calls: Counter
+  private readonly _choices: Counter
   private readonly _forwarded: Counter
   private readonly _retries: Counter
   private readonly _closedConnections: Counter
+  private readonly _quotaUnits: Counter
   private readonly _latency: Histogram
   private readonly _firstEvent: Histogram
+  private readonly _capacityWait: Histogram
 
   constructor () {
     const registers = [this._registry]
     this._responses = new Counter({ name: 'jaymill_answers_total', help: 'Answers of endpoints passed on.', labelNames: ['kind', 'status'], registers })
     this._refusals = new Counter({ name: 'jaymill_refusals_total', help: 'Requests answered by the host itself.', labelNames: ['kind'], registers })
     this._calls = new Counter({ name: 'jaymill_endpoint_calls_total', help: 'Calls to endpoints.', labelNames: ['call', 'outcome'], registers })
+    this._choices = new Counter({ name: 'jaymill_expected_work_choices_total', help: 'Endpoints chosen by expected work, by what it is known from.', labelNames: ['known'], registers })
     this._forwarded = new Counter({ name: 'jaymill_forwarded_total', help: 'Requests sent to other hosts.', labelNames: ['outcome'], registers })
     this._retries = new Counter({ name: 'jaymill_retries_total', help: 'Retries charged to the budget, or refused by it.', labelNames: ['call', 'outcome'], registers })
     this._closedConnections = new Counter({
       name: 'jaymill_closed_connections_total', help: 'Connections that the host closed to stay within its limits.', labelNames: ['reason'], registers
     })
+    this._quotaUnits = new Counter({ name: 'jaymill_quota_units_total', help: 'Units of quotas that callers asked for.', labelNames: ['outcome'], registers })
     this._latency = new Histogram({
       name: 'jaymill_answer_seconds', help: 'Time to the whole answer.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_S, registers
     })
     this._firstEvent = new Histogram({
       name: 'jaymill_first_event_seconds', help: 'Time to the first event of a stream.', buckets: LATENCY_BUCKETS_S, registers
     })
+    this._capacityWait = new Histogram({
+      name: 'jaymill_capacity_wait_seconds', help: 'Time that requests waited for capacity at the engines.', labelNames: ['service', 'rank', 'outcome'], buckets: LATENCY_BUCKETS_S, registers
+    })
+  }
+
+  /**
+   * Records the end of a wait for capacity, where requests of a service differ in rank or account.
+   *
+   * @param labels - What became of the request.
+   * @param ms - Time that it waited, in milliseconds.
+   */
+  recordCapacityWait ({ service, rank, outcome }: CapacityLabels, ms: number): void {
+    this._capacityWait.observe({ service, rank, outcome }, ms / MS_PER_SECOND)
   }
 
   /**
@@ -66,6 +94,7 @@
     this._gauge('jaymill_held_bytes', 'Bytes of requests and responses in memory.', gauges.heldBytes)
     this._gauge('jaymill_connections_waiting', 'Connections whose body is not read for now.', gauges.waitingConnections)
     this._gauge('jaymill_caller_connections', 'Open connections of callers.', gauges.callerConnections)
+    this._gauge('jaymill_accounts_near_limit', 'Client accounts that are close to their quota, or over it.', gauges.accountsNearLimit)
     this._gauge('jaymill_quarantined', 'Requests and parts of prompts that are refused because they crash endpoints.', gauges.quarantined)
   }
 
@@ -109,6 +138,15 @@
     this._calls.inc({ call, outcome })
   }
 
+  /**
+   * Records an endpoint that was chosen by the work that is expected there.
+   *
+   * @param reported - Whether the endpoint itself has reported its load lately; only other hosts otherwise.
+   */
+  recordChoice (reported: boolean): void {
+    this._choices.inc({ known: reported ? 'endpoint' : 'hosts' })
+  }
+
   /**
    * Records a request that was sent to another host.
    *
@@ -137,6 +175,16 @@
     this._closedConnections.inc({ reason })
   }
 
+  /**
+   * Records a request of an account with a quota.
+   *
+   * @param admitted - Whether the quota admitted it.
+   * @param units - Cost of the request.
+   */
+  recordQuotaUnits (admitted: boolean, units: number): void {
+    this._quotaUnits.inc({ outcome: admitted ? 'admitted' : 'refused' }, units)
+  }
+
   /**
    * Serves the metrics in the text format of Prometheus.
    *
