--- a/packages/gateway/src/callers/JaymillCallerResponse.ts
+++ b/packages/gateway/src/callers/JaymillCallerResponse.ts
@@ -4,7 +4,6 @@
 import type { FleetState } from '../fleet/JaymillFleetState.js'
 import type { WireDialect } from '../ports/JaymillWireDialect.js'
 import { REFUSAL_DELAY_MS, RESET_DELAY_MS } from './constants.js'
-import { announcesBody } from './JaymillBodyReader.js'
 import { isForwardedHeader } from './JaymillForwardedRequest.js'
 import type { GatewayRequest } from './JaymillGatewayRequest.js'
 
@@ -99,8 +98,9 @@
  * @param res - Response to the caller; destroyed when its head has already been sent.
  * @param requestId - Id of the request.
  * @param err - The failure.
+ * @param bodyArrives - Whether the body of the request still arrives.
  */
-export function sendProblem (res: ServerResponse, requestId: string | undefined, err: JaymillError): void {
+export function sendProblem (res: ServerResponse, requestId: string | undefined, err: JaymillError, bodyArrives: boolean): void {
   if (res.headersSent) {
     abortResponse(res)
     return
@@ -108,7 +108,7 @@
   const body = JSON.stringify(toProblem(err, requestId))
   const retryHeader = err.retryAfterMs === undefined ? {} : { 'Retry-After': (err.retryAfterMs / 1_000).toFixed(3) }
   res.writeHead(err.status, { 'Content-Type': 'application/problem+json', 'Content-Length': Buffer.byteLength(body), ...retryHeader })
-  if (res.req.complete || !announcesBody(res.req)) {
+  if (!bodyArrives) {
     res.end(body)
     return
   }
--- a/packages/gateway/src/callers/JaymillIngress.ts
+++ b/packages/gateway/src/callers/JaymillIngress.ts
@@ -270,8 +270,9 @@
       config: this._context.state.version,
       ms
     })
-    if (!req.complete && announcesBody(req)) res.setHeader('Connection', 'close')
-    sendProblem(res, id, failure)
+    const bodyArrives = !req.complete && announcesBody(req)
+    if (bodyArrives) res.setHeader('Connection', 'close')
+    sendProblem(res, id, failure, bodyArrives)
   }
 
   private _drop (req: IncomingMessage, res: ServerResponse, err: unknown): void {
