Callers with a shorter deadline than usual are not taken for retries

Cause: a request whose caller named less than 0.97 of the route's time limit counted as the retry of a refused caller. While the engines were full these were late from their arrival, waited behind all others and were never refused early.

Change: one function in core, isProbablyRetry, with 0.8 of the limit; what is left after a refusal and the shortest retry delay is mostly below that. Tests: 61 of 61 of the queue, urgency and streams.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -112,6 +112,12 @@
 /** Time over which a host averages the arrival rates of its requests, in milliseconds. */
 export const DEMAND_SMOOTH_MS = 2_000
 
+/**
+ * Share of the route's time limit below which a caller's deadline indicates a retry: first deadlines are up to 15% shorter than the limit
+ * (users' callers).
+ */
+export const RETRY_DEADLINE_SHARE = 0.8
+
 /** Shortest retry delay for a refused caller, in milliseconds; about half the duration of a response. */
 export const RETRY_AFTER_MIN_MS = 1_500
 
--- a/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
@@ -1,5 +1,5 @@
 import {
-  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, PROTECTED_SHARE, RETRY_AFTER_MIN_MS, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, isProbablyRetry, PROTECTED_SHARE, serviceRanks, UrgencyAdmission, UrgencyOrder,
   yieldingRoomTokens, yieldsRoom,
   type EndpointRecord, type PoolView, type Urgency
 } from '@jaymill/core'
@@ -157,7 +157,7 @@
     const ranks = state.config === undefined ? [] : serviceRanks(state.config, service.name)
     const isPlaceable = kvTokensOf(request) <= (service.engine?.kvTokens ?? 0)
     if (!isPlaceable || (ranks.length <= 1 && account === undefined)) return undefined
-    const hasWaited = route.timeoutMs - (metadata.deadlineMs ?? route.timeoutMs) >= RETRY_AFTER_MIN_MS
+    const hasWaited = isProbablyRetry(metadata.deadlineMs, route.timeoutMs)
     const level = ranks.filter(rank => rank < priority).length
     const ofAccount = account === undefined ? {} : { account: account.name }
     return {
--- a/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillPromptForwarder.ts
@@ -1,5 +1,5 @@
 import {
-  callerTimeoutMs, CallOutcome, EngineRole, ErrorKind, isIdempotent, RanState, RequestError, type EndpointRecord, type RetryCharge
+  callerTimeoutMs, CallOutcome, EngineRole, ErrorKind, isIdempotent, isProbablyRetry, RanState, RequestError, type EndpointRecord, type RetryCharge
 } from '@jaymill/core'
 import { abortError } from '../callers/JaymillAbortError.js'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -7,7 +7,7 @@
 import { ExchangeError, ExchangeFailure } from '../endpoints/JaymillExchangeError.js'
 import type { StreamedResponse } from '../endpoints/JaymillStreamedResponse.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
-import { FIRST_EVENT_MARGIN_MS, MAX_PROMPT_ROUNDS, PREFILL_TIMEOUT_FACTOR, RETRY_DEADLINE_SHARE, STREAM_SILENCE_MS } from './constants.js'
+import { FIRST_EVENT_MARGIN_MS, MAX_PROMPT_ROUNDS, PREFILL_TIMEOUT_FACTOR, STREAM_SILENCE_MS } from './constants.js'
 import { EngineCapacity } from './JaymillEngineCapacity.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
 import { PrefillForwarder } from './JaymillPrefillForwarder.js'
@@ -121,7 +121,7 @@
     const mayHaveRun = progress.runs > 0 || progress.relay.started
     if (peers.shouldForward(request, mayHaveRun)) return undefined
     const nowMs = this._context.clock.nowMs()
-    const isRetry = (metadata.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETRY_DEADLINE_SHARE
+    const isRetry = isProbablyRetry(metadata.deadlineMs, route.timeoutMs)
     const firstEventMs = this._expectedFirstEventMs(request)
     const callerTimeoutAtMs = progress.rounds > 1 ? nowMs + callerTimeoutMs(route) : arrivedMs + callerTimeoutMs(route)
     const reservationDeadlineMs = Math.min(callerTimeoutAtMs, request.deadlineMs) - firstEventMs - FIRST_EVENT_MARGIN_MS
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -73,9 +73,6 @@
 /** Engines that are asked for a reservation one after the other before the queue waits for capacity again. */
 export const MAX_PROBES_PER_PASS = 4
 
-/** Share of the route's time limit below which a caller's deadline indicates a retry. */
-export const RETRY_DEADLINE_SHARE = 0.97
-
 /** Longest usual duration of a plain request, as a multiple of its route's latency target. */
 export const PLAIN_DURATION_TARGETS = 3
 
