Urgency by the rank of the account, then by that of the route

Requests of accounts with the same rank now go by their routes' rank, and engines get the place among these pairs. An account counts as over its part from eight recent requests on, since a host of a large fleet sees few (half of the requests were over their part, also after the hot account was back to usual). Callers count as come back below 0.8 of the time limit: first deadlines are up to 0.15 shorter than the limit.

--- a/packages/core/src/__tests__/unit/gateway/JaymillUrgency.test.ts
+++ b/packages/core/src/__tests__/unit/gateway/JaymillUrgency.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import {
-  BacklogAdmission, DemandShares, drainMs, LatencyTargetOrder, PROTECTED_SHARE, RefusalReason, SeededRandom, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  BacklogAdmission, DemandShares, drainMs, LatencyTargetOrder, PROTECTED_SHARE, RefusalReason, SeededRandom, serviceRanks, UrgencyAdmission, urgencyLevel, UrgencyOrder,
   yieldingRoomTokens, yieldsRoom,
   type Admission, type GatewayConfig, type GatewayRoute, type PoolView, type QueueOrder, type Urgency, type WaitingRequest
 } from '../../../index.js'
@@ -243,10 +243,17 @@
 test('the ranks of a service are those of its routes and of the accounts that may use them', () => {
   const route = (priority: number, service: string, isPublic = false): GatewayRoute => ({ priority, isPublic, targets: [{ service, weight: 1 }] } as unknown as GatewayRoute)
   const config = { routes: [route(2, 's'), route(0, 's'), route(7, 't'), route(3, 'u', true)] } as unknown as GatewayConfig
-  expect(serviceRanks(config, 's')).toEqual([0, 2])
+  const ranksOf = (published: GatewayConfig, service: string): ReadonlyArray<readonly number[]> => serviceRanks(published, service).map(({ rank, routeRank }) => [rank, routeRank])
+  expect(ranksOf(config, 's')).toEqual([[0, 0], [2, 2]])
   const accounts = [{ name: 'a', keys: [], priority: 5 }]
-  expect(['s', 't', 'u'].map(service => serviceRanks({ ...config, accounts }, service))).toEqual([[5], [5], [3]])
-  expect(serviceRanks({ ...config, accounts: [...accounts, { name: 'b', keys: [] }] }, 's')).toEqual([0, 2, 5])
+  expect(['s', 't', 'u'].map(service => ranksOf({ ...config, accounts }, service))).toEqual([[[5, 0], [5, 2]], [[5, 7]], [[3, 3], [5, 3]]])
+  expect(ranksOf({ ...config, accounts: [...accounts, { name: 'b', keys: [] }] }, 's')).toEqual([[0, 0], [2, 2], [5, 0], [5, 2]])
+})
+
+// Answers a burst in which all accounts have the same rank and only the routes differ.
+test('among requests of accounts with the same rank, that of the route counts', () => {
+  const ranks = serviceRanks({ routes: [2, 0, 1].map(priority => ({ priority, targets: [{ service: 's', weight: 1 }] })), accounts: [{ name: 'a', keys: [], priority: 1 }] } as unknown as GatewayConfig, 's')
+  expect([0, 1, 2].map(routeRank => urgencyLevel(ranks, { rank: 1, routeRank }))).toEqual([0, 1, 2])
 })
 
 function item (overrides: Partial<WaitingRequest>): WaitingRequest {
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -141,7 +141,7 @@
 export const ACCOUNT_PART_FACTOR = 2
 
 /** Number of recent requests of an account from which its part is known. */
-export const ACCOUNT_MIN_REQUESTS = 4
+export const ACCOUNT_MIN_REQUESTS = 8
 
 /** Assumed KV cache holding time before the first measurement, in milliseconds; a response of some hundred tokens. */
 export const HOLDING_TIME_INITIAL_MS = 3_500
--- a/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
@@ -1,11 +1,11 @@
 import {
-  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, PROTECTED_SHARE, RETRY_AFTER_MIN_MS, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, PROTECTED_SHARE, serviceRanks, UrgencyAdmission, urgencyLevel, UrgencyOrder,
   yieldingRoomTokens, yieldsRoom,
   type EndpointRecord, type PoolView, type Urgency
 } from '@jaymill/core'
 import type { GatewayRequest } from '../callers/JaymillGatewayRequest.js'
 import type { Reservation } from '../ports/JaymillEngineControl.js'
-import { MAX_PROBES_PER_PASS, PREFILL_BACKLOG_MS } from './constants.js'
+import { MAX_PROBES_PER_PASS, PREFILL_BACKLOG_MS, RETURNED_DEADLINE_SHARE } from './constants.js'
 import { CapacityQueue, type CapacityOutcome } from './JaymillCapacityQueue.js'
 import type { EngineReservations } from './JaymillEngineReservations.js'
 import type { ForwardingContext } from './JaymillForwardingContext.js'
@@ -157,8 +157,8 @@
     const ranks = state.config === undefined ? [] : serviceRanks(state.config, service.name)
     const isPlaceable = kvTokensOf(request) <= (service.engine?.kvTokens ?? 0)
     if (!isPlaceable || (ranks.length <= 1 && account === undefined)) return undefined
-    const hasWaited = route.timeoutMs - (metadata.deadlineMs ?? route.timeoutMs) >= RETRY_AFTER_MIN_MS
-    const level = ranks.filter(rank => rank < priority).length
+    const hasWaited = (metadata.deadlineMs ?? route.timeoutMs) < route.timeoutMs * RETURNED_DEADLINE_SHARE
+    const level = urgencyLevel(ranks, { rank: priority, routeRank: route.priority })
     const ofAccount = account === undefined ? {} : { account: account.name }
     return {
       ...ofAccount,
--- a/packages/gateway/src/forwarding/JaymillForwarder.ts
+++ b/packages/gateway/src/forwarding/JaymillForwarder.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
   CallOutcome, earliestAnswerMs, ErrorKind, ExpectedTimeRanking, isIdempotent, LateReportForecast, REPORTED_LOAD_MEMORY_MS, RequestError, sampleEndpoints, sampleSize,
-  serviceRanks,
+  serviceRanks, urgencyLevel,
   type Candidate, type EndpointRanking, type EndpointRecord, type ExpectedWork, type KnownWork, type OutstandingWork, type RetryCharge, type WorkForecast
 } from '@jaymill/core'
 import { BUSY_RETRY_AFTER_MS } from '../callers/constants.js'
@@ -56,10 +56,11 @@
     }
   }
 
-  /** Endpoints get the rank only where their requests differ in it. */
-  private _rankMetadata ({ service, priority }: GatewayRequest): Pick<CallMetadata, 'priority'> {
+  /** Endpoints get the place of a request among the ranks of their service, and only where there are several. */
+  private _rankMetadata ({ service, priority, route }: GatewayRequest): Pick<CallMetadata, 'priority'> {
     const { config } = this._context.state
-    return config === undefined || serviceRanks(config, service.name).length <= 1 ? {} : { priority }
+    const ranks = config === undefined ? [] : serviceRanks(config, service.name)
+    return ranks.length <= 1 ? {} : { priority: urgencyLevel(ranks, { rank: priority, routeRank: route.priority }) }
   }
 
   protected _remainingMs ({ deadlineMs }: GatewayRequest): number {
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -76,6 +76,12 @@
 /** Share of the route's time limit below which a caller's deadline indicates a retry. */
 export const RETRY_DEADLINE_SHARE = 0.97
 
+/**
+ * Share of the route's time limit below which the caller of a request was refused before and has waited; callers whose first
+ * deadline is somewhat shorter than the limit are not among them.
+ */
+export const RETURNED_DEADLINE_SHARE = 0.8
+
 /** Longest usual duration of a plain request, as a multiple of its route's latency target. */
 export const PLAIN_DURATION_TARGETS = 3
 
--- a/packages/gateway/src/ports/JaymillWireDialect.ts
+++ b/packages/gateway/src/ports/JaymillWireDialect.ts
@@ -47,7 +47,7 @@
   readonly lastEventId?: string
   /** Name of the caller's account. */
   readonly account?: string
-  /** Rank of the request at the engine; 0 is the most urgent. */
+  /** Place of the request among the ranks of the endpoint's service; 0 is the most urgent. */
   readonly priority?: number
 }
 
