--- a/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
@@ -1,5 +1,5 @@
 import {
-  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, isProbablyRetry, PROTECTED_SHARE, serviceRanks, UrgencyAdmission, UrgencyOrder,
+  CapacityProbeLimiter, DemandShares, drainMs, EngineRole, isProbablyRetry, PROTECTED_SHARE, serviceRanks, UrgencyAdmission, urgencyLevel, UrgencyOrder,
   yieldingRoomTokens, yieldsRoom,
   type EndpointRecord, type PoolView, type Urgency
 } from '@jaymill/core'
@@ -158,7 +158,7 @@
     const isPlaceable = kvTokensOf(request) <= (service.engine?.kvTokens ?? 0)
     if (!isPlaceable || (ranks.length <= 1 && account === undefined)) return undefined
     const hasWaited = isProbablyRetry(metadata.deadlineMs, route.timeoutMs)
-    const level = ranks.filter(rank => rank < priority).length
+    const level = urgencyLevel(ranks, { rank: priority, routeRank: route.priority })
     const ofAccount = account === undefined ? {} : { account: account.name }
     return {
       ...ofAccount,
