Less urgent requests leave room as often as more urgent ones ask for it

Cause: at nearly full engines each less urgent request left room for one more.

Change: the share of the demand that is more urgent is the probability to leave room.

--- a/packages/core/src/gateway/JaymillAdmission.ts
+++ b/packages/core/src/gateway/JaymillAdmission.ts
@@ -94,15 +94,17 @@
 }
 
 /**
- * Decides whether a request leaves room at the engines to more urgent ones of other hosts, whose queues this host does not see.
+ * Decides whether a request leaves room at the engines to more urgent ones of other hosts, whose queues this host does not see. It does so
+ * as often as these are part of the demand: where few requests are more urgent, room that is left for them would mostly stay unused.
  *
  * @param urgency - How the request yields; `undefined` where nothing distinguishes requests.
- * @param pool - KV cache of the pool and how much of it is in use.
+ * @param pool - KV cache of the pool, how much of it is in use, and the parts of the demand.
+ * @param random - Source of randomness.
  * @returns Whether the pool is nearly full and others go first.
  */
-export function yieldsRoom (urgency: Urgency | undefined, { usedTokens, capacityTokens }: Pick<PoolView, 'usedTokens' | 'capacityTokens'>): boolean {
+export function yieldsRoom (urgency: Urgency | undefined, { usedTokens, capacityTokens, shareUpTo }: Pick<PoolView, 'usedTokens' | 'capacityTokens' | 'shareUpTo'>, random: Random): boolean {
   if (urgency === undefined || urgency.position === 0 || urgency.isProtected) return false
-  return usedTokens >= FULL_KV_SHARE * capacityTokens
+  return usedTokens >= FULL_KV_SHARE * capacityTokens && random.next() < shareUpTo(urgency.position - 1)
 }
 
 /**
--- a/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
+++ b/packages/gateway/src/forwarding/JaymillEngineCapacity.ts
@@ -198,15 +198,16 @@
   /**
    * Returns engines whose reported load leaves enough capacity. While the work of other hosts is known late, it also returns full
    * ones that are due for a probe: an engine grants less than the load that hosts count, so a probe could overfill it. While the
-   * pool is nearly full, a less urgent request leaves the room for one more of mean size to others.
+   * pool is nearly full, less urgent requests leave the room for one more of mean size to others, as often as these ask for it.
    */
   private _enginesToProbe (request: GatewayRequest, progress: PromptProgress): readonly EndpointRecord[] {
-    const { load, loadAgeMs, clock, reliability, admission } = this._context
+    const { load, loadAgeMs, clock, random, reliability, admission } = this._context
     const kvTokens = request.service.engine?.kvTokens ?? Number.POSITIVE_INFINITY
     const nowMs = clock.nowMs()
     const tokens = kvTokensOf(request)
-    const yields = yieldsRoom(progress.urgency, this._memory(request))
-    const neededTokens = yields ? yieldingRoomTokens(tokens, this._queue(request).shares.meanTokens, kvTokens) : tokens
+    const { shares } = this._queue(request)
+    const yields = yieldsRoom(progress.urgency, { ...this._memory(request), shareUpTo: position => shares.upTo(position, nowMs) }, random)
+    const neededTokens = yields ? yieldingRoomTokens(tokens, shares.meanTokens, kvTokens) : tokens
     const ranked = this._pools.rankedDecoders(request, progress)
     const trusted = ranked.filter(({ id }) => !reliability.isSuspect(id, nowMs))
     const due = (trusted.length > 0 ? trusted : ranked).filter(record => admission.allows(record)).filter(({ id }) => {
