--- a/packages/gateway/src/forwarding/JaymillCapacityQueue.ts
+++ b/packages/gateway/src/forwarding/JaymillCapacityQueue.ts
@@ -106,7 +106,7 @@
     const skipped = signal.aborted || !this._waiting.includes(queued) || tokens >= refused.tokens || yields
     const reservation = skipped ? undefined : await queued.reserve()
     if (reservation !== undefined) this._settle(queued, { reservation })
-    const isRefused = !skipped && reservation === undefined
+    const isRefused = !skipped && reservation === undefined && !signal.aborted
     await this._tryInOrder(rest, isRefused ? { tokens, position: Math.min(refused.position, urgency?.position ?? Number.POSITIVE_INFINITY) } : refused)
   }
 
