Keep the bytes of a body for calls that still send it, and refuse one that can't be allocated

Found in two reviews of the limits on what callers make a host hold. First: the memory of a large body was shrunk to nothing when its request ended. An endpoint may respond before it has read the whole request; a script that shrinks a buffer while it is written to a socket ends with EFAULT and a connection that breaks off after 3.9 of 8 MB. Second: a failed allocation was thrown in a listener of the connection, which would have ended the process; the body is refused as not run.

--- a/packages/gateway/src/__tests__/unit/JaymillBodyReader.test.ts
+++ b/packages/gateway/src/__tests__/unit/JaymillBodyReader.test.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { PassThrough } from 'node:stream'
-import { beforeEach, expect, test } from 'vitest'
-import { ErrorKind, HeldBytes, RequestError } from '@jaymill/core'
+import { beforeEach, expect, test, vi } from 'vitest'
+import { ErrorKind, HeldBytes, RanState, RequestError } from '@jaymill/core'
+import { BodyBuffer } from '../../callers/JaymillBodyBuffer.js'
 import { readBody } from '../../callers/JaymillBodyReader.js'
 import { ConnectionMemory } from '../../callers/JaymillConnectionMemory.js'
 
@@ -105,3 +106,14 @@
   await bodies[1]
   expect(memory.arrival).toBeUndefined()
 })
+
+// Guards against: a failed allocation is thrown in a listener of the connection, which ends the process.
+test('a body for which the system has no memory is refused as not run', async () => {
+  const allocate = vi.spyOn(BodyBuffer.prototype, 'append').mockImplementation(() => { throw new RangeError('Array buffer allocation failed') })
+  const req = chunkedRequest()
+  const body = read(req)
+  req.write('part')
+  await expect(body).rejects.toMatchObject({ kind: ErrorKind.Overloaded, status: 503, ran: RanState.No })
+  allocate.mockRestore()
+  expect(held.unfinished).toBe(0)
+})
--- a/packages/gateway/src/callers/JaymillBodyBuffer.ts
+++ b/packages/gateway/src/callers/JaymillBodyBuffer.ts
@@ -8,8 +8,8 @@
 const FIRST_BYTES = 1_024
 
 /**
- * Memory of one body. A small body moves as it grows. A large one stays in place, and its memory returns to the system when it is
- * released, without waiting for the garbage collector.
+ * Memory of one body. A small body moves as it grows; a large one stays in place. Released memory is freed by the garbage collector, since
+ * a call to an endpoint may still send from it: an endpoint can respond before it has read the whole request.
  */
 export class BodyBuffer {
   private readonly _maxBytes: number
@@ -53,9 +53,8 @@
     return this.capacity - before
   }
 
-  /** Returns the memory of a large body to the system. */
+  /** Gives the memory up. */
   release (): void {
-    if (this._memory.resizable) this._memory.resize(0)
     this._memory = new ArrayBuffer(0)
   }
 
--- a/packages/gateway/src/callers/JaymillBodyReader.ts
+++ b/packages/gateway/src/callers/JaymillBodyReader.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import { ErrorKind, RequestError } from '@jaymill/core'
+import { MEMORY_RETRY_AFTER_MS } from './constants.js'
 import { BodyBuffer } from './JaymillBodyBuffer.js'
 import type { BodyArrival, ConnectionMemory } from './JaymillConnectionMemory.js'
 
@@ -49,7 +50,7 @@
       const onData = (part: Buffer): void => {
         if (settled.signal.aborted) return
         if (body.size + part.length > maxBytes) reject(tooLarge())
-        else memory.addBody(body.append(part))
+        else append(body, part, memory, reject)
       }
       req.on('data', onData).once('end', resolve).once('error', () => reject(signal.aborted ? aborted() : callerGone()))
       settled.signal.addEventListener('abort', () => { req.off('data', onData).off('end', resolve) })
@@ -68,6 +69,15 @@
   }
 }
 
+/** The system may have no memory left for a body, even within the limits of the host. */
+function append (body: BodyBuffer, part: Buffer, memory: ConnectionMemory, reject: (err: RequestError) => void): void {
+  try {
+    memory.addBody(body.append(part))
+  } catch (err) {
+    reject(new RequestError(ErrorKind.Overloaded, 'no memory is left for the body', { retryAfterMs: MEMORY_RETRY_AFTER_MS, cause: err }))
+  }
+}
+
 function callerGone (): RequestError {
   return new RequestError(ErrorKind.CallerGone, 'the caller has disconnected')
 }
