--- /dev/null
+++ b/review/9/case.mjs
@@ -0,0 +1,7 @@
+import { fileURLToPath } from 'node:url'
+import { changeConfig } from '../lib-2/config-change.mjs'
+
+/** Machines of one zone that lose their power: 4 of 27 are a share of 0.148. */
+const LOST_MACHINES = 4
+
+await changeConfig(fileURLToPath(new URL('record.txt', import.meta.url)), ({ zoneNumber, place }) => zoneNumber === 0 && place < LOST_MACHINES)
--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -9,8 +9,19 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url))
 
+/** Returns ports that are free at any address. */
+async function freePorts (count) {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map(server => new Promise(resolve => { server.listen(0, resolve) })))
+  const ports = servers.map(server => server.address().port)
+  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
+  return ports
+}
+
+const [front, ready, control, ...internal] = await freePorts(5)
+
 /** Ports of every host; the addresses of the hosts differ. */
-export const PORTS = { front: 18149, ready: 18141, control: 18144, internal: [17380, 17395] }
+export const PORTS = { front, ready, control, internal }
 
 /** Host processes of the deploy file, each with a loopback address of its own. */
 export class Fleet {
