--- a/review/lib-2/config-change.mjs
+++ b/review/lib-2/config-change.mjs
@@ -63,7 +63,7 @@
   if (!await fleet.ready()) return undefined
   note(`${hosts.length} hosts are ready`)
   await sleep(12_000)
-  const lost = process.env.TROUBLE === '0' ? [] : hosts.filter(isLost).map(({ ip }) => ip)
+  const lost = hosts.filter(isLost).map(({ ip }) => ip)
   lost.forEach(ip => fleet.signal(ip, 'SIGKILL'))
   note(`lost their power: ${lost.join(' ') || 'none'}`)
   setTimeout(() => {
